--- /dev/null
+++ b/stairplank/__init__.py
@@ -0,0 +1,6 @@
+"""stairplank: the decisions of a cluster scheduler of which many planners run side by side, sharing nothing."""
+
+from .decide import Planner
+from .interface import Settings
+
+__all__ = ["Planner", "Settings"]
--- /dev/null
+++ b/stairplank/decide.py
@@ -0,0 +1,596 @@
+"""All decisions of one planner. The types it is fed and returns are in interface.py.
+
+Read from the top: the threshold rule, what is known of a node, then Planner. Ordinary path of a task:
+``_asked`` -> ``_try_place`` -> ``_choose`` (own part or the compared one, by ``keeps_home``) -> ``_draw`` -> ``_bind``.
+docs/design.md says what comes from the paper, what departs from it and when each departure acts.
+"""
+
+from __future__ import annotations
+
+import random
+from collections import Counter, deque
+from collections.abc import Callable, Iterable
+
+from .interface import (
+    PROVES_NOT_RUN,
+    Action,
+    Bind,
+    Effect,
+    Event,
+    Fail,
+    FetchList,
+    ListKind,
+    Log,
+    NodeEntry,
+    NodeList,
+    NodeStatus,
+    Note,
+    Outcome,
+    Placed,
+    Probed,
+    Reason,
+    Refuse,
+    Result,
+    Scope,
+    SetTimer,
+    Settings,
+    Started,
+    StopAttempt,
+    Task,
+    TaskAdopted,
+    TaskAsked,
+    TaskClass,
+    TaskWithdrawn,
+    TimerFired,
+    Watch,
+)
+
+DRAWN = 3  # nodes drawn in a part, the roomiest is taken: two leave too much to chance in parts of three or four
+WARM_SLACK = 0.2  # a node that knows the program is preferred while at most so much fuller than the roomiest
+KEPT_PROGRAMS = 4  # programs a node is taken to keep after their last task: the least one may hope for
+LIST_LAG_US = 1_500_000  # how late the list is taken to be until own binds have been seen in it
+LAG_WEIGHT = 0.1  # of one sighting in the running mean of the list's lag: a dozen sightings settle it
+LAG_MOST_US = 15_000_000  # an own change older than this is in any list that still moves
+HOLD_POLL_US = 40_000  # a task that fits nowhere is tried again so often: far under any aim, cheap in CPU
+POLL_MISSES = 16  # held tasks that find no room before a poll ends: in a jam the rest would not fit either
+GIVE_UP_TICKS = 3  # ticks before the deadline at which a held task is answered: two to act, one to spare
+REFUSE_AFTER_US = 200_000  # advice to a refused owner; owners wait a second or more anyhow
+TIMEOUT_AIMS = 1.5  # an attempt that may be repeated is given up after so many aims ...
+TIMEOUT_LEAST_US = 2_500_000  # ... but not before a start from nothing on a busy node can have ended
+SUSPEND_US = 700_000  # first rest of a node that failed; doubles with each further failure
+SUSPEND_MOST_US = 8_000_000  # long enough for a reboot, short enough to find a healed node again
+FULL_REST_US = 150_000  # rest after "too many offers wait": about one queue of looks
+NO_ROOM_REST_US = 400_000  # rest after "no cores" or "no memory": until the list may show why
+COLD_SHARE_USED = 0.5  # of the surely borne offers of a cold node, so that a late word still leaves room
+COLD_OUT_MOST = 2  # unanswered binds on a cold node: its pace is a fraction of the usual
+WATCH_RETRY_US = 600_000  # before the list is asked for again after a failed call
+WATCH_RETRY_MOST_US = 3_000_000
+HASH_1, HASH_2 = 0xBF58476D1CE4E5B9, 0x94D049BB133111EB  # of splitmix64: well mixed, the same everywhere
+NEAR = 1e-4  # two amounts of cores or memory closer than this are the same
+
+
+def keeps_home(exact: int, at_upper: bool, other_upper: int) -> bool:
+    """Theorem 2, Case 2: whether a task stays in the own part.
+
+    ``exact`` is the own load in steps; ``at_upper`` says that nothing was seen leaving since the shared
+    count; ``other_upper`` is the larger load the other part is believed to have.
+    """
+    return other_upper >= exact + 1 if at_upper else other_upper >= exact
+
+
+def part_of(node: int, planners: int) -> int:
+    """The planner that owns a node: the same at every planner, whatever each knows."""
+    x = (node + 0x9E3779B97F4A7C15) & 0xFFFFFFFFFFFFFFFF
+    x = ((x ^ (x >> 30)) * HASH_1) & 0xFFFFFFFFFFFFFFFF
+    x = ((x ^ (x >> 27)) * HASH_2) & 0xFFFFFFFFFFFFFFFF
+    return (x ^ (x >> 31)) % planners
+
+
+class Change:
+    """Own bind (amounts above 0) or release (below 0) that the list does not show yet."""
+
+    __slots__ = ("at", "cores", "memory")
+
+    def __init__(self, at: int, cores: float, memory: float) -> None:
+        self.at, self.cores, self.memory = at, cores, memory
+
+
+class Attempt:
+    """One offer of a task, from its send to its outcome."""
+
+    __slots__ = ("task", "shot", "node", "group", "zone", "sent", "change", "placed", "launched")
+
+    def __init__(self, task: Task, shot: int, node: Node | None, node_id: int, sent: int) -> None:
+        self.task, self.shot, self.node, self.sent = task, shot, node_id, sent
+        self.group = node.entry.group if node else -1
+        self.zone = node.entry.zone if node else -1
+        self.launched = node.entry.launched_us if node else 0
+        self.change: Change | None = None
+        self.placed = False
+
+
+class Node:
+    """What this planner knows of one listed node."""
+
+    def __init__(self, entry: NodeEntry, settings: Settings) -> None:
+        self.entry = entry
+        kind = settings.kinds[entry.kind]
+        self.cores, self.memory = kind.cores, kind.memory
+        self.part = part_of(entry.id, settings.planners)
+        self.changes: list[Change] = []
+        self.sums: tuple[tuple[float, float], tuple[float, float]] | None = None  # None: to be added up anew
+        self.attempts: dict[tuple[int, int], Attempt] = {}
+        self.services: Counter[int] = Counter()
+        self.kept: deque[int] = deque(maxlen=KEPT_PROGRAMS)
+        self.cold_binds: deque[int] = deque()
+        self.streak = 0
+        self.rest_until = 0
+        self.leaving = False  # a task was sent away from it: it drains, whatever the list says
+
+    def asked(self, releases: bool = True) -> tuple[float, float]:
+        """Cores and memory asked for: the late list and the own later changes."""
+        if self.sums is None:
+            cores, memory = self.cores - self.entry.free_cores, self.memory - self.entry.free_memory
+            binds = [c for c in self.changes if c.cores > 0]
+            upper = (cores + sum(c.cores for c in binds), memory + sum(c.memory for c in binds))
+            exact = (cores + sum(c.cores for c in self.changes), memory + sum(c.memory for c in self.changes))
+            self.sums = (upper, exact)
+        return self.sums[releases]
+
+    def share_with(self, task: Task) -> float:
+        """The larger asked share once the task is on it."""
+        cores, memory = self.asked()
+        return max((cores + task.cores) / self.cores, (memory + task.memory) / self.memory)
+
+    def out(self) -> int:
+        return sum(1 for a in self.attempts.values() if not a.placed)
+
+    def is_warm_for(self, service: int) -> bool:
+        return self.services[service] > 0 or service in self.kept
+
+    def add(self, attempt: Attempt) -> None:
+        self.attempts[attempt.task.id, attempt.shot] = attempt
+        self.services[attempt.task.service] += 1
+
+    def remove(self, attempt: Attempt, ran: bool) -> None:
+        if self.attempts.pop((attempt.task.id, attempt.shot), None) is None:
+            return
+        service = attempt.task.service
+        self.services[service] -= 1
+        if self.services[service] <= 0:
+            del self.services[service]
+            if ran and service not in self.kept:
+                self.kept.append(service)
+
+    def restart(self) -> None:
+        """It came up anew: what ran or was bound there is gone, and so are its programs and old faults."""
+        self.changes.clear()
+        self.sums = None
+        self.attempts.clear()
+        self.services.clear()
+        self.kept.clear()
+        self.cold_binds.clear()
+        self.streak = self.rest_until = 0
+        self.leaving = False
+
+    def failed(self, now: int) -> None:
+        """Rest it, twice as long with each failure. Danger: a node that fails fast looks roomy and draws tasks."""
+        if now >= self.rest_until or self.streak == 0:
+            self.streak += 1
+        self.rest_until = max(self.rest_until, now + min(SUSPEND_US << min(self.streak - 1, 8), SUSPEND_MOST_US))
+
+    def served(self) -> None:
+        self.streak = max(0, self.streak - 1)
+
+
+class Open:
+    """A task that is owed an answer."""
+
+    __slots__ = ("task", "sort", "shots", "out", "tried", "risk_sent", "risk_node")
+
+    def __init__(self, task: Task, sort: TaskClass) -> None:
+        self.task, self.sort = task, sort
+        self.shots = 0
+        self.out: Attempt | None = None
+        self.tried: set[int] = set()
+        self.risk_sent: int | None = None  # send of the first attempt that may have run
+        self.risk_node: Attempt | None = None
+
+    def may_go_to(self, node: Node, now: int, tick: int) -> bool:
+        """Rule 2: where a further attempt may go once an earlier one may have run."""
+        first = self.risk_node
+        if first is None or self.sort.effect is Effect.REPEATABLE:
+            return True
+        if self.sort.effect is Effect.ONCE or now + 2 * tick >= first.sent + self.sort.window_us:
+            return False
+        scope = self.sort.dedup_scope
+        if scope is Scope.ALL:
+            return True
+        if scope is Scope.ZONE:
+            return node.entry.zone == first.zone
+        return scope is Scope.GROUP and node.entry.group == first.group
+
+    def may_refuse(self) -> bool:
+        """Rule 2: a refusal promises that a retry does no harm."""
+        if self.risk_node is None or self.sort.effect is Effect.REPEATABLE:
+            return True
+        return self.sort.effect is Effect.KEYED and self.sort.dedup_scope is Scope.ALL
+
+
+class Planner:
+    """One planner: ``handle`` takes the time and an event and returns the actions to carry out."""
+
+    def __init__(self, settings: Settings, seed: int) -> None:
+        self.s = settings
+        self.rng = random.Random(seed)
+        self.now = 0
+        self.nodes: dict[int, Node] = {}
+        self.open: dict[int, Open] = {}
+        self.held: dict[int, None] = {}
+        self.attempts: dict[tuple[int, int], Attempt] = {}
+        self.timers: dict[int, Callable[[], None]] = {}
+        self.next_token = 0
+        self.polling = False
+        self.watch_fails = 0
+        self.lag = float(LIST_LAG_US)
+        self.spread: Counter[tuple[int, Scope, int]] = Counter()
+        self.actions: list[Action] = []
+
+    def handle(self, now: int, event: Event) -> list[Action]:
+        self.now = now
+        self.actions = []
+        match event:
+            case Started():
+                self._watch()
+            case NodeList():
+                self._list(event)
+            case TaskAsked(task):
+                self._asked(task)
+            case TaskAdopted(task, node):
+                self._adopted(task, node)
+            case Placed():
+                self._placed(event)
+            case Outcome():
+                self._outcome(event)
+            case TaskWithdrawn(task_id):
+                self._close(task_id)
+            case TimerFired(token):
+                self.timers.pop(token, lambda: None)()
+            case Note() | Probed():
+                pass
+        return self.actions
+
+    def _timer(self, at: int, call: Callable[[], None]) -> None:
+        self.next_token = (self.next_token + 1) & 0xFFFFFFFF
+        self.timers[self.next_token] = call
+        self.actions.append(SetTimer(max(at, self.now), self.next_token))
+
+    # The node list
+
+    def _watch(self) -> None:
+        if self.s.must_ask:
+            self.actions.append(Watch())
+
+    def _list(self, event: NodeList) -> None:
+        if event.kind is ListKind.FAILED:
+            # Danger: without a subscription drains and restarts go unheard; keep asking, slower each time.
+            self.watch_fails += 1
+            wait = min(WATCH_RETRY_US << min(self.watch_fails - 1, 4), WATCH_RETRY_MOST_US)
+            self._timer(self.now + wait, self._watch)
+            return
+        if event.kind is not ListKind.CACHED:
+            self.watch_fails = 0
+        if event.kind is not ListKind.CHANGES:
+            listed = {entry.id for entry in event.nodes}
+            for node_id in [n for n in self.nodes if n not in listed]:
+                del self.nodes[node_id]
+        for entry in event.nodes:
+            self._entry(entry)
+
+    def _entry(self, entry: NodeEntry) -> None:
+        if entry.status is NodeStatus.GONE or not 0 <= entry.kind < len(self.s.kinds):
+            self.nodes.pop(entry.id, None)
+            return
+        node = self.nodes.get(entry.id)
+        if node is None:
+            self.nodes[entry.id] = Node(entry, self.s)
+            return
+        old, node.entry, node.sums = node.entry, entry, None
+        if entry.launched_us > old.launched_us:
+            node.restart()
+        elif self.s.shows_free:
+            self._shown(node, old.free_cores - entry.free_cores, old.free_memory - entry.free_memory)
+
+    def _shown(self, node: Node, cores: float, memory: float) -> None:
+        """Drop the own changes that the list now shows. Danger: a bind counted twice, or not at all."""
+        if abs(cores) < NEAR and abs(memory) < NEAR:
+            return
+        for count, change in enumerate(node.changes, 1):
+            cores -= change.cores
+            memory -= change.memory
+            if abs(cores) < NEAR and abs(memory) < NEAR:
+                seen = min(self.now - change.at, LAG_MOST_US)
+                self.lag += LAG_WEIGHT * (seen - self.lag)
+                del node.changes[:count]
+                return
+        node.changes = [c for c in node.changes if c.at > self.now - self.lag]
+
+    # The ordinary path
+
+    def _asked(self, task: Task) -> None:
+        if task.id in self.open or not 0 <= task.class_index < len(self.s.classes):
+            return
+        self.open[task.id] = Open(task, self.s.classes[task.class_index])
+        self._timer(task.expires_us - GIVE_UP_TICKS * self.s.tick_us, lambda: self._deadline(task.id))
+        self._try_place(self.open[task.id])
+
+    def _try_place(self, job: Open) -> None:
+        """Bind the task, hold it until something fits, or answer where no further attempt is allowed."""
+        self.held.pop(job.task.id, None)
+        if job.shots >= self.s.max_attempts or not self._may_try_again(job):
+            self._give_up(job)
+            return
+        node = self._choose(job)
+        if node is not None:
+            self._bind(job, node)
+            return
+        self._hold(job)
+
+    def _hold(self, job: Open) -> None:
+        self.held[job.task.id] = None
+        if not self.polling:
+            self.polling = True
+            self._timer(self.now + HOLD_POLL_US, self._poll)
+
+    def _may_try_again(self, job: Open) -> bool:
+        first = job.risk_node
+        if first is None or job.sort.effect is Effect.REPEATABLE:
+            return True
+        return job.sort.effect is Effect.KEYED and self.now + 2 * self.s.tick_us < first.sent + job.sort.window_us
+
+    def _choose(self, job: Open) -> Node | None:
+        """The own part or the compared one by the threshold rule, then the other of the two, then any node."""
+        home = self.s.position
+        other = home
+        if self.s.planners > 1:
+            other = (home + 1 + self.rng.randrange(self.s.planners - 1)) % self.s.planners
+        first, second = (home, other) if self._stays(home, other) else (other, home)
+        fitting = [n for n in self.nodes.values() if self._fits(job, n)]
+        for part in (first, second):
+            node = self._draw(job, [n for n in fitting if n.part == part])
+            if node is not None:
+                return node
+        return self._draw(job, fitting)
+
+    def _stays(self, home: int, other: int) -> bool:
+        if other == home:
+            return True
+        mine = [n for n in self.nodes.values() if n.part == home and n.entry.status is NodeStatus.READY]
+        theirs = [n for n in self.nodes.values() if n.part == other and n.entry.status is NodeStatus.READY]
+        if not mine or not theirs:  # an empty part counts as full
+            return bool(mine)
+        exact, upper = self._load(mine, mine, True), self._load(mine, mine, False)
+        return keeps_home(exact, exact >= upper, self._load(theirs, mine, False))
+
+    def _load(self, part: list[Node], home: list[Node], releases: bool) -> int:
+        """Load of a part: the larger asked share, in steps of one mean task over the own part's size."""
+        cores = memory = 0.0
+        for node in part:
+            c, m = node.asked(releases)
+            cores += c
+            memory += m
+        step = max(self.s.mean_cores / sum(n.cores for n in home), self.s.mean_memory / sum(n.memory for n in home))
+        share = max(cores / sum(n.cores for n in part), memory / sum(n.memory for n in part))
+        return int(share / step + 0.5)
+
+    def _fits(self, job: Open, node: Node) -> bool:
+        """Kind, drains, health, room, cold budget and spread."""
+        task, sort = job.task, job.sort
+        if node.entry.status is not NodeStatus.READY or node.leaving or self.now < node.rest_until:
+            return False
+        if sort.node_kind is not None and node.entry.kind != sort.node_kind:
+            return False
+        if task.id in self.open and node.entry.id in job.tried or not job.may_go_to(node, self.now, self.s.tick_us):
+            return False
+        cores, memory = node.asked()
+        if cores + task.cores > self.s.cores_limit * node.cores + NEAR:
+            return False
+        if memory + task.memory > self.s.memory_limit * node.memory + NEAR:
+            return False
+        return self._cold_allows(node) and self._spread_allows(task, sort, node)
+
+    def _is_cold(self, node: Node) -> bool:
+        return 0 < node.entry.launched_us and self.now < node.entry.launched_us + self.s.cold_us
+
+    def _cold_allows(self, node: Node) -> bool:
+        """Rule 4. Danger: all planners find a fresh, empty node roomiest; each keeps to its share of the budget."""
+        if not self._is_cold(node):
+            return True
+        while node.cold_binds and node.cold_binds[0] <= self.now - self.s.fall_us:
+            node.cold_binds.popleft()
+        most = max(1, int(COLD_SHARE_USED * self.s.fresh_offers / self.s.planners))
+        return len(node.cold_binds) < most and node.out() < COLD_OUT_MOST
+
+    def _place(self, scope: Scope, node: int, group: int, zone: int) -> int:
+        return {Scope.NODE: node, Scope.GROUP: group, Scope.ZONE: zone}.get(scope, 0)
+
+    def _spread_allows(self, task: Task, sort: TaskClass, node: Node) -> bool:
+        """Rule 5: pending, placed and adopted tasks of the service in the place all count."""
+        if sort.spread is Scope.NONE:
+            return True
+        place = self._place(sort.spread, node.entry.id, node.entry.group, node.entry.zone)
+        return self.spread[task.service, sort.spread, place] < sort.spread_most
+
+    def _draw(self, job: Open, fitting: list[Node]) -> Node | None:
+        """The roomiest of a few drawn nodes; those that know the program are drawn from first."""
+        if not fitting:
+            return None
+        room = {n.entry.id: n.share_with(job.task) for n in fitting}
+        least = min(room.values())
+        warm = [
+            n for n in fitting if n.is_warm_for(job.task.service) and room[n.entry.id] <= least + WARM_SLACK
+        ]
+        pool = warm or fitting
+        drawn = self.rng.sample(pool, min(DRAWN, len(pool)))
+        return min(drawn, key=lambda n: room[n.entry.id])
+
+    def _bind(self, job: Open, node: Node) -> None:
+        attempt = Attempt(job.task, job.shots, node, node.entry.id, self.now)
+        attempt.change = Change(self.now, job.task.cores, job.task.memory)
+        node.changes.append(attempt.change)
+        node.sums = None
+        if self._is_cold(node):
+            node.cold_binds.append(self.now)
+        job.shots += 1
+        job.out = attempt
+        job.tried.add(node.entry.id)
+        self._count(attempt, node)
+        self.actions.append(Bind(job.task.id, node.entry.id, self._timeout(job)))
+
+    def _count(self, attempt: Attempt, node: Node | None) -> None:
+        self.attempts[attempt.task.id, attempt.shot] = attempt
+        if node is not None:
+            node.add(attempt)
+        self._spread_count(attempt, 1)
+
+    def _spread_count(self, attempt: Attempt, by: int) -> None:
+        sort = self.s.classes[attempt.task.class_index]
+        if sort.spread is not Scope.NONE:
+            place = self._place(sort.spread, attempt.node, attempt.group, attempt.zone)
+            key = (attempt.task.service, sort.spread, place)
+            self.spread[key] += by
+            if self.spread[key] <= 0:
+                del self.spread[key]
+
+    def _timeout(self, job: Open) -> int:
+        """A short time-out pays only where a further attempt may go anywhere; else it loses the task."""
+        again = job.sort.effect is Effect.REPEATABLE or (
+            job.sort.effect is Effect.KEYED and job.sort.dedup_scope is Scope.ALL
+        )
+        left = job.task.expires_us - self.now
+        wait = max(TIMEOUT_LEAST_US, int(TIMEOUT_AIMS * job.sort.aim_us))
+        if not again or job.shots >= self.s.max_attempts or wait * 1.3 > left:
+            return 0
+        return wait
+
+    # What comes back
+
+    def _adopted(self, task: Task, node_id: int) -> None:
+        if (task.id, 0) in self.attempts or not 0 <= task.class_index < len(self.s.classes):
+            return
+        node = self.nodes.get(node_id)
+        attempt = Attempt(task, 0, node, node_id, self.now)
+        attempt.placed = True
+        self._count(attempt, node)  # the list shows it already: no change is pending
+
+    def _placed(self, event: Placed) -> None:
+        attempt = self.attempts.get((event.task, event.attempt))
+        if attempt is None:
+            return
+        attempt.placed = True
+        node = self._node_of(attempt)
+        if node is not None:
+            node.served()
+        job = self.open.pop(event.task, None)
+        if job is not None:
+            self.held.pop(event.task, None)
+
+    def _node_of(self, attempt: Attempt) -> Node | None:
+        """The node of an attempt, unless it has started anew since."""
+        node = self.nodes.get(attempt.node)
+        return node if node is not None and node.entry.launched_us <= max(attempt.launched, attempt.sent) else None
+
+    def _outcome(self, event: Outcome) -> None:
+        attempt = self.attempts.pop((event.task, event.attempt), None)
+        if attempt is None:
+            return
+        self._spread_count(attempt, -1)
+        node = self._node_of(attempt)
+        proved = event.result in PROVES_NOT_RUN
+        if node is not None:
+            node.remove(attempt, attempt.placed)
+            self._release(node, attempt, proved)
+            self._judge(node, attempt, event)
+        job = self.open.get(event.task)
+        if job is None:
+            return
+        if event.closed:
+            self._close(event.task)
+            return
+        if job.out is attempt:
+            job.out = None
+        if not proved and job.risk_node is None:
+            job.risk_node = attempt
+        if job.out is None:
+            if self.now >= event_deadline(job, self.s):
+                self._give_up(job)
+            else:
+                self._try_place(job)
+
+    def _release(self, node: Node, attempt: Attempt, proved: bool) -> None:
+        """Count a release once: an unseen bind is taken back, a seen one is set off until the list shows it."""
+        change = attempt.change
+        node.sums = None
+        if proved:
+            if change in node.changes:
+                node.changes.remove(change)
+        elif attempt.placed:
+            node.changes.append(Change(self.now, -attempt.task.cores, -attempt.task.memory))
+
+    def _judge(self, node: Node, attempt: Attempt, event: Outcome) -> None:
+        """Health by symptom: errors, silence and lost tasks rest a node, whatever lies behind them."""
+        reason = event.reason
+        if event.result is Result.REFUSED:
+            if reason is Reason.QUEUE_FULL:
+                node.rest_until = max(node.rest_until, self.now + FULL_REST_US)
+            elif reason in (Reason.NO_CORES, Reason.NO_MEMORY):
+                node.rest_until = max(node.rest_until, self.now + NO_ROOM_REST_US)
+            elif reason is not Reason.NOT_HERE or attempt.task.again is False:
+                node.failed(self.now)
+        elif event.result in (Result.ERROR, Result.UNREACHABLE, Result.TIMEOUT):
+            node.failed(self.now)
+        elif event.result is Result.LOST:
+            if reason is Reason.SENT_AWAY:
+                node.leaving = True
+            elif reason is Reason.UNTOLD:
+                node.failed(self.now)
+
+    # Answers and waiting
+
+    def _poll(self) -> None:
+        self.polling = False
+        waiting = [self.open[t] for t in self.held if t in self.open]
+        self.held.clear()
+        misses = 0
+        for job in sorted(waiting, key=lambda j: -j.sort.worth):
+            if misses < POLL_MISSES:
+                self._try_place(job)
+                misses += job.task.id in self.held
+            else:
+                self._hold(job)
+
+    def _deadline(self, task_id: int) -> None:
+        """Rule 1. Danger: an attempt is still out, or its time-out comes late; the owner needs an answer anyhow."""
+        job = self.open.get(task_id)
+        if job is None:
+            return
+        late = job.task.expires_us + self.s.answer_slack_us // 2
+        if job.out is not None and self.now < late - self.s.tick_us:
+            self._timer(late, lambda: self._deadline(task_id))
+        else:
+            self._give_up(job)
+
+    def _give_up(self, job: Open) -> None:
+        safe = job.out is None and job.may_refuse()
+        after = min(REFUSE_AFTER_US, self.s.max_retry_after_us)
+        self.actions.append(Refuse(job.task.id, after) if safe else Fail(job.task.id))
+        self._close(job.task.id)
+
+    def _close(self, task_id: int) -> None:
+        self.open.pop(task_id, None)
+        self.held.pop(task_id, None)
+
+
+def event_deadline(job: Open, settings: Settings) -> int:
+    """From here on a task without an attempt is answered, not tried again."""
+    return job.task.expires_us - GIVE_UP_TICKS * settings.tick_us
--- /dev/null
+++ b/stairplank/interface.py
@@ -0,0 +1,342 @@
+"""The interface of the decision module: its settings, the events it is fed and the actions it returns.
+
+Everything here is a frozen dataclass or an enum; nothing here decides. Times are whole microseconds on
+the caller's clock. Ids of tasks, nodes, services and groups are opaque integers.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum, IntEnum
+
+
+class Effect(Enum):
+    """What a second start of a task would do."""
+
+    REPEATABLE = "repeatable"
+    KEYED = "keyed"
+    ONCE = "once"
+
+
+class Scope(Enum):
+    """A set of nodes seen from one of them: the node alone, its group, its zone, or every node."""
+
+    NONE = "none"
+    NODE = "node"
+    GROUP = "group"
+    ZONE = "zone"
+    ALL = "all"
+
+
+class NodeStatus(IntEnum):
+    GONE = 0
+    DRAINING = 1
+    READY = 2
+
+
+class ListKind(Enum):
+    """How a node list arrived."""
+
+    CHANGES = "changes"
+    FULL = "full"
+    CACHED = "cached"
+    FAILED = "failed"
+
+
+class Result(Enum):
+    """How an attempt ended."""
+
+    FINISHED = "finished"  # the task ran to its end
+    ERROR = "error"  # the node answered with an error
+    REFUSED = "refused"  # turned down or handed back before it ran
+    TIMEOUT = "timeout"
+    UNREACHABLE = "unreachable"  # no connection could be made
+    LOST = "lost"  # after placement: evicted, pushed out, sent away or lost; before it: answer broke off
+    CANCELLED = "cancelled"
+    NOT_SENT = "not_sent"
+
+
+PROVES_NOT_RUN = frozenset({Result.REFUSED, Result.UNREACHABLE, Result.NOT_SENT})
+
+
+class Reason(IntEnum):
+    """Why an attempt was refused or a placed task was lost."""
+
+    UNTOLD = 0
+    NO_CORES = 1
+    NO_MEMORY = 2
+    QUEUE_FULL = 3
+    NOT_HERE = 4
+    EVICTED = 5
+    PUSHED_OUT = 6
+    SENT_AWAY = 7
+
+
+class NoteKind(IntEnum):
+    RUNNING = 1
+    CORES_USED = 2
+    MEMORY_USED = 3
+    SERVED_SHARE = 4
+    NODE_MEMORY_SHARE = 5
+
+
+@dataclass(frozen=True, slots=True)
+class TaskClass:
+    name: str
+    effect: Effect
+    dedup_scope: Scope  # KEYED: the nodes that drop repeats of a task
+    window_us: int  # KEYED: for how long they remember
+    aim_us: int  # a start within this time earns its full worth
+    deadline_us: int
+    worth: float = 1.0  # of one second of full service
+    start_worth_s: float = 0.0  # a start in time is worth so many seconds of service
+    late_worth: float = 0.0
+    spread: Scope = Scope.NONE
+    spread_most: int = 0
+    node_kind: int | None = None
+    priority: int = 0
+    calm_until: float = 1.0  # served in full while the cores are busy up to this share
+
+
+@dataclass(frozen=True, slots=True)
+class NodeKind:
+    name: str
+    cores: float
+    memory: float
+
+
+@dataclass(frozen=True, slots=True)
+class Settings:
+    """What a planner is told once, at its start."""
+
+    planners: int
+    position: int
+    zone: int
+    classes: tuple[TaskClass, ...]
+    kinds: tuple[NodeKind, ...]
+    mean_cores: float  # of one task
+    mean_memory: float
+    cores_limit: float  # a node accepts until its tasks ask for this many times its cores
+    memory_limit: float
+    confirms_running: bool  # Placed means "it runs", not only "it was accepted"
+    preempts: bool
+    max_attempts: int
+    answer_slack_us: int
+    drain_grace_us: int
+    cold_share: float
+    cold_us: int
+    fall_multiple: float
+    fall_us: int
+    fresh_offers: float
+    must_ask: bool  # the node list comes only when asked for
+    ask_within_us: int
+    tick_us: int
+    shows_free: bool = True
+    may_probe: bool = False
+    may_cancel: bool = False
+    max_retry_after_us: int = 0
+    owner_wait_us: int = 0
+    report_fields: tuple[str, ...] = ()
+    reports_in_answers: bool = False
+    tenant_share: tuple[float, ...] = ()
+    tenant_quota_cores: tuple[float, ...] = ()
+    over_share_worth: float = 1.0
+    price_fleet: float = 0.0
+    price_move: float = 0.0
+    price_waste: float = 0.0
+    price_probe: float = 0.0
+    price_list: float = 0.0
+    price_refusal: float = 0.0
+
+    def __post_init__(self) -> None:
+        def need(ok: bool, field: str) -> None:
+            if not ok:
+                raise ValueError(f"settings: bad {field}: {getattr(self, field)!r}")
+
+        need(self.planners >= 1, "planners")
+        need(0 <= self.position < self.planners, "position")
+        need(len(self.classes) >= 1, "classes")
+        need(len(self.kinds) >= 1, "kinds")
+        need(all(k.cores > 0 and k.memory > 0 for k in self.kinds), "kinds")
+        for name in ("mean_cores", "mean_memory", "cores_limit", "memory_limit", "max_attempts", "tick_us"):
+            need(getattr(self, name) > 0, name)
+        for name in ("answer_slack_us", "drain_grace_us", "cold_us", "fall_us", "fresh_offers", "ask_within_us"):
+            need(getattr(self, name) >= 0, name)
+        need(all(q >= 0 for q in self.tenant_quota_cores), "tenant_quota_cores")
+
+
+@dataclass(frozen=True, slots=True)
+class Task:
+    id: int
+    class_index: int
+    tenant: int
+    key: int
+    expires_us: int
+    service: int
+    cores: float
+    memory: float
+    life_us: int | None = None  # how long it is still expected to run, where told
+    again: bool = False  # it came back after a refusal, failure, move or loss
+
+
+@dataclass(frozen=True, slots=True)
+class NodeEntry:
+    """One line of the node list; the free figures were true some time ago."""
+
+    id: int
+    zone: int
+    kind: int
+    group: int
+    status: NodeStatus
+    free_cores: float
+    free_memory: float
+    launched_us: int = 0  # 0: long ago
+
+
+# Events
+
+
+@dataclass(frozen=True, slots=True)
+class Started:
+    """First event of a planner's life."""
+
+
+@dataclass(frozen=True, slots=True)
+class NodeList:
+    kind: ListKind
+    nodes: tuple[NodeEntry, ...] = ()
+    revision: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class TaskAsked:
+    task: Task
+
+
+@dataclass(frozen=True, slots=True)
+class TaskAdopted:
+    """A task that runs already and is this planner's to look after from now on."""
+
+    task: Task
+    node: int
+
+
+@dataclass(frozen=True, slots=True)
+class Placed:
+    task: int
+    attempt: int
+    node: int
+    latency_us: int
+
+
+@dataclass(frozen=True, slots=True)
+class Outcome:
+    """How an attempt ended; ``closed`` says that the task is over and no answer is owed."""
+
+    task: int
+    attempt: int
+    node: int
+    result: Result
+    closed: bool
+    reason: Reason = Reason.UNTOLD
+    latency_us: int = 0
+    report: tuple[float, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Note:
+    task: int
+    attempt: int
+    node: int
+    kind: NoteKind
+    level: float
+
+
+@dataclass(frozen=True, slots=True)
+class TaskWithdrawn:
+    task: int
+
+
+@dataclass(frozen=True, slots=True)
+class TimerFired:
+    token: int
+
+
+@dataclass(frozen=True, slots=True)
+class Probed:
+    node: int
+    ok: bool
+    latency_us: int
+    report: tuple[float, ...] = ()
+
+
+Event = (
+    Started | NodeList | TaskAsked | TaskAdopted | Placed | Outcome | Note | TaskWithdrawn | TimerFired | Probed
+)
+
+
+# Actions
+
+
+@dataclass(frozen=True, slots=True)
+class Bind:
+    """Offer the task to a node; attempts of a task are numbered 0, 1, 2 ... in this order."""
+
+    task: int
+    node: int
+    timeout_us: int = 0  # 0: until the owner gives up
+
+
+@dataclass(frozen=True, slots=True)
+class Refuse:
+    task: int
+    retry_after_us: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Fail:
+    task: int
+
+
+@dataclass(frozen=True, slots=True)
+class StopAttempt:
+    task: int
+    attempt: int
+
+
+@dataclass(frozen=True, slots=True)
+class Evict:
+    """Stop a placed task so that its owner has it placed anew."""
+
+    task: int
+
+
+@dataclass(frozen=True, slots=True)
+class SetTimer:
+    at_us: int
+    token: int
+
+
+@dataclass(frozen=True, slots=True)
+class Probe:
+    node: int
+
+
+@dataclass(frozen=True, slots=True)
+class Watch:
+    """Ask for changes of the node list from now on."""
+
+    active: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class FetchList:
+    """Ask for the whole node list, once."""
+
+
+@dataclass(frozen=True, slots=True)
+class Log:
+    text: str
+
+
+Action = Bind | Refuse | Fail | StopAttempt | Evict | SetTimer | Probe | Watch | FetchList | Log
