--- /dev/null
+++ b/tests/helpers.py
@@ -0,0 +1,120 @@
+"""A small world for tests of the module alone."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from stairplank import Planner, Settings
+from stairplank.interface import (
+    Action,
+    Bind,
+    Effect,
+    Event,
+    ListKind,
+    NodeEntry,
+    NodeKind,
+    NodeList,
+    NodeStatus,
+    Outcome,
+    Placed,
+    Reason,
+    Result,
+    Scope,
+    Started,
+    Task,
+    TaskAsked,
+    TaskClass,
+)
+
+SECOND = 1_000_000
+
+CLASSES = (
+    TaskClass("repeat", Effect.REPEATABLE, Scope.ALL, 0, 600_000, 6 * SECOND),
+    TaskClass("keyed", Effect.KEYED, Scope.GROUP, 4 * SECOND, 600_000, 8 * SECOND),
+    TaskClass("once", Effect.ONCE, Scope.ALL, 0, 600_000, 8 * SECOND),
+    TaskClass("spread", Effect.REPEATABLE, Scope.ALL, 0, SECOND, 6 * SECOND, spread=Scope.ZONE, spread_most=2),
+    TaskClass("keyed-all", Effect.KEYED, Scope.ALL, 4 * SECOND, 600_000, 8 * SECOND),
+)
+
+SETTINGS = Settings(
+    planners=2,
+    position=0,
+    zone=0,
+    classes=CLASSES,
+    kinds=(NodeKind("std", 16.0, 32.0),),
+    mean_cores=1.0,
+    mean_memory=2.0,
+    cores_limit=1.0,
+    memory_limit=1.0,
+    confirms_running=True,
+    preempts=False,
+    max_attempts=3,
+    answer_slack_us=8_000,
+    drain_grace_us=250_000,
+    cold_share=0.2,
+    cold_us=10 * SECOND,
+    fall_multiple=2.0,
+    fall_us=1_500_000,
+    fresh_offers=12.0,
+    must_ask=True,
+    ask_within_us=10 * SECOND,
+    tick_us=2_000,
+    max_retry_after_us=3 * SECOND,
+    may_cancel=True,
+)
+
+
+def entry(node: int, **changes: object) -> NodeEntry:
+    base = NodeEntry(node, node % 3, 0, node // 3, NodeStatus.READY, 16.0, 32.0)
+    return replace(base, **changes)  # type: ignore[arg-type]
+
+
+class World:
+    """Feeds a planner and keeps what it did."""
+
+    def __init__(self, nodes: int = 6, **settings: object) -> None:
+        self.planner = Planner(replace(SETTINGS, **settings), 7)  # type: ignore[arg-type]
+        self.now = 100 * SECOND
+        self.done: list[Action] = []
+        self.feed(Started())
+        self.list(*(entry(n) for n in range(nodes)), kind=ListKind.FULL)
+
+    def feed(self, event: Event, after: int = 0) -> list[Action]:
+        self.now += after
+        actions = self.planner.handle(self.now, event)
+        self.done += actions
+        return actions
+
+    def list(self, *entries: NodeEntry, kind: ListKind = ListKind.CHANGES, after: int = 0) -> list[Action]:
+        return self.feed(NodeList(kind, tuple(entries)), after)
+
+    def task(self, id: int, sort: int = 0, service: int = 5, cores: float = 1.0, memory: float = 2.0) -> Task:
+        wait = CLASSES[sort].deadline_us
+        return Task(id, sort, 0, id, self.now + wait, service, cores, memory)
+
+    def ask(self, id: int, sort: int = 0, after: int = 0, **task: object) -> list[Action]:
+        self.now += after
+        return self.feed(TaskAsked(self.task(id, sort, **task)))  # type: ignore[arg-type]
+
+    def placed(self, bind: Bind, attempt: int = 0, after: int = 50_000) -> list[Action]:
+        return self.feed(Placed(bind.task, attempt, bind.node, after), after)
+
+    def ends(
+        self,
+        bind: Bind,
+        result: Result,
+        attempt: int = 0,
+        after: int = 50_000,
+        closed: bool = False,
+        reason: Reason = Reason.UNTOLD,
+    ) -> list[Action]:
+        return self.feed(Outcome(bind.task, attempt, bind.node, result, closed, reason, after), after)
+
+
+def binds(actions: list[Action]) -> list[Bind]:
+    return [a for a in actions if isinstance(a, Bind)]
+
+
+def bind_of(actions: list[Action]) -> Bind:
+    (bind,) = binds(actions)
+    return bind
--- /dev/null
+++ b/tests/test_threshold.py
@@ -0,0 +1,39 @@
+"""The threshold rule against Theorem 2, Case 2, with beliefs as distributions and stochastic order."""
+
+import pytest
+
+from stairplank.decide import keeps_home, part_of
+
+
+def at_least(belief: tuple[int, int], threshold: tuple[int, int]) -> bool:
+    """Stochastic order of two-point beliefs (upper, lower) that share their weights."""
+    return belief[0] >= threshold[0] and belief[1] >= threshold[1]
+
+
+@pytest.mark.parametrize("x", range(1, 9))
+@pytest.mark.parametrize("y", range(1, 12))
+def test_upper_step_has_the_papers_threshold(x: int, y: int) -> None:
+    assert keeps_home(x, True, y) is at_least((y, y - 1), (x + 1, x))
+
+
+@pytest.mark.parametrize("x", range(1, 9))
+@pytest.mark.parametrize("y", range(1, 12))
+def test_lower_step_has_the_papers_threshold(x: int, y: int) -> None:
+    threshold = (0, 0) if x == 1 else (x - 1, x - 2)
+    assert keeps_home(x - 1, False, y) is at_least((y, y - 1), threshold)
+
+
+def test_printed_strategies() -> None:
+    assert not keeps_home(3, True, 3)  # (27), upper step: away
+    assert keeps_home(2, False, 3)  # (27), lower step: home
+    assert keeps_home(3, True, 4) and keeps_home(2, False, 4)  # (28)
+    assert not keeps_home(4, True, 3)  # (28), the other controller
+    assert keeps_home(3, False, 3)  # (28), as conjectured: it keeps its job at the lower step
+    assert not keeps_home(5, True, 3) and not keeps_home(4, False, 3)  # (30), y = x + 2
+
+
+def test_parts_are_stable_and_cover_every_planner() -> None:
+    parts = [part_of(n, 3) for n in range(300)]
+    assert parts[:6] == [part_of(n, 3) for n in range(6)]
+    assert all(60 < parts.count(p) < 140 for p in range(3))
+    assert {part_of(n, 1) for n in range(50)} == {0}
