--- a/stairplank/decide.py
+++ b/stairplank/decide.py
@@ -27,6 +27,7 @@
     Note,
     Outcome,
     Placed,
+    Probe,
     Probed,
     Reason,
     Refuse,
@@ -49,6 +50,9 @@
 WARM_SLACK = 0.2  # a node that knows the program is preferred while at most so much fuller than the roomiest
 KEPT_PROGRAMS = 4  # programs a node is taken to keep after their last task: the least one may hope for
 LIST_LAG_US = 1_500_000  # how late the list is taken to be until own binds have been seen in it
+REPORT_LAG_US = 700_000  # age of a report on arrival: half a refresh and the way; too high only counts binds longer
+PROBE_GAP_US = 300_000  # a node's report is not refreshed faster than this, so neither is it asked for
+PROBE_PRICE_MOST = 0.01  # points for one probe a task up to which a probe rides with every task
 LAG_WEIGHT = 0.1  # of one sighting in the running mean of the list's lag: a dozen sightings settle it
 LAG_MOST_US = 15_000_000  # an own change older than this is in any list that still moves
 HOLD_POLL_US = 40_000  # a task that fits nowhere is tried again so often: far under any aim, cheap in CPU
@@ -117,6 +121,9 @@
         kind = settings.kinds[entry.kind]
         self.cores, self.memory = kind.cores, kind.memory
         self.part = part_of(entry.id, settings.planners)
+        self.free = (entry.free_cores, entry.free_memory)  # the freshest figures, from the list or a report
+        self.as_of = 0  # when they were true, as far as can be told
+        self.probed_at = 0
         self.changes: list[Change] = []
         self.sums: tuple[tuple[float, float], tuple[float, float]] | None = None  # None: to be added up anew
         self.attempts: dict[tuple[int, int], Attempt] = {}
@@ -130,13 +137,18 @@
     def asked(self, releases: bool = True) -> tuple[float, float]:
         """Cores and memory asked for: the late list and the own later changes."""
         if self.sums is None:
-            cores, memory = self.cores - self.entry.free_cores, self.memory - self.entry.free_memory
+            cores, memory = self.cores - self.free[0], self.memory - self.free[1]
             binds = [c for c in self.changes if c.cores > 0]
             upper = (cores + sum(c.cores for c in binds), memory + sum(c.memory for c in binds))
             exact = (cores + sum(c.cores for c in self.changes), memory + sum(c.memory for c in self.changes))
             self.sums = (upper, exact)
         return self.sums[releases]
 
+    def learn(self, free: tuple[float, float], as_of: int) -> None:
+        """Take fresher figures; own changes they must show are dropped, so that each is counted once."""
+        self.free, self.as_of, self.sums = free, as_of, None
+        self.changes = [c for c in self.changes if c.at > as_of]
+
     def share_with(self, task: Task) -> float:
         """The larger asked share once the task is on it."""
         cores, memory = self.asked()
@@ -256,7 +268,9 @@
                 self._close(task_id)
             case TimerFired(token):
                 self.timers.pop(token, lambda: None)()
-            case Note() | Probed():
+            case Probed(node_id, _, _, report):
+                self._report(node_id, report)
+            case Note():
                 pass
         return self.actions
 
@@ -295,25 +309,49 @@
         if node is None:
             self.nodes[entry.id] = Node(entry, self.s)
             return
-        old, node.entry, node.sums = node.entry, entry, None
+        old, node.entry = node.entry, entry
         if entry.launched_us > old.launched_us:
             node.restart()
+            node.learn((entry.free_cores, entry.free_memory), self.now)
         elif self.s.shows_free:
-            self._shown(node, old.free_cores - entry.free_cores, old.free_memory - entry.free_memory)
+            self._shown(node, old, entry)
 
-    def _shown(self, node: Node, cores: float, memory: float) -> None:
-        """Drop the own changes that the list now shows. Danger: a bind counted twice, or not at all."""
+    def _shown(self, node: Node, old: NodeEntry, new: NodeEntry) -> None:
+        """Take the list's figures. Danger: a bind counted twice, or not at all; own binds found in it date it."""
+        cores, memory = old.free_cores - new.free_cores, old.free_memory - new.free_memory
         if abs(cores) < NEAR and abs(memory) < NEAR:
             return
-        for count, change in enumerate(node.changes, 1):
+        as_of = self.now - int(self.lag)
+        for change in node.changes:
             cores -= change.cores
             memory -= change.memory
             if abs(cores) < NEAR and abs(memory) < NEAR:
-                seen = min(self.now - change.at, LAG_MOST_US)
-                self.lag += LAG_WEIGHT * (seen - self.lag)
-                del node.changes[:count]
-                return
-        node.changes = [c for c in node.changes if c.at > self.now - self.lag]
+                as_of = change.at
+                self.lag += LAG_WEIGHT * (min(self.now - change.at, LAG_MOST_US) - self.lag)
+                break
+        if as_of >= node.as_of:
+            node.learn((new.free_cores, new.free_memory), as_of)
+
+    def _report(self, node_id: int, report: tuple[float, ...]) -> None:
+        """A node's own word is a later view than the list's, above all when the list is stale or silent."""
+        node = self.nodes.get(node_id)
+        values = dict(zip(self.s.report_fields, report, strict=False))
+        if node is None or "free_cores" not in values or "free_memory" not in values:
+            return
+        as_of = self.now - REPORT_LAG_US
+        if as_of > node.as_of:
+            node.learn((values["free_cores"], values["free_memory"]), as_of)
+
+    def _probe_one(self) -> None:
+        """Each task asked buys one probe, of the node least recently heard of."""
+        if not self.s.may_probe or self.s.price_probe > PROBE_PRICE_MOST:
+            return
+        due = [n for n in self.nodes.values() if max(n.as_of, n.probed_at) < self.now - PROBE_GAP_US]
+        due = [n for n in due if n.entry.status is NodeStatus.READY]
+        if due:
+            node = min(due, key=lambda n: (max(n.as_of, n.probed_at), n.entry.id))
+            node.probed_at = self.now
+            self.actions.append(Probe(node.entry.id))
 
     # The ordinary path
 
@@ -322,6 +360,7 @@
             return
         self.open[task.id] = Open(task, self.s.classes[task.class_index])
         self._timer(task.expires_us - GIVE_UP_TICKS * self.s.tick_us, lambda: self._deadline(task.id))
+        self._probe_one()
         self._try_place(self.open[task.id])
 
     def _try_place(self, job: Open) -> None:
@@ -505,6 +544,7 @@
         if attempt is None:
             return
         self._spread_count(attempt, -1)
+        self._report(event.node, event.report)
         node = self._node_of(attempt)
         proved = event.result in PROVES_NOT_RUN
         if node is not None:
