Waiting starts count in the pick; queues and time-outs are learned

Cause: in bursts starts wait for each other; half the attempts timed out or met a full queue. Now own waiting starts weigh in the roomiest pick, a node's tolerated number of unanswered binds is cut at "too many wait", and time-outs follow the usual time to an answer.

--- a/stairplank/decide.py
+++ b/stairplank/decide.py
@@ -47,6 +47,8 @@
 )
 
 DRAWN = 3  # nodes drawn in a part, the roomiest is taken: two leave too much to chance in parts of three or four
+START_WEIGHT = 0.01  # share of a node that one start waiting there counts as, so that starts spread in time too
+NEW_PROGRAM = 8.0  # starts that one start from nothing is worth: the program must be fetched first
 WARM_SLACK = 0.2  # a node that knows the program is preferred while at most so much fuller than the roomiest
 KEPT_PROGRAMS = 4  # programs a node is taken to keep after their last task: the least one may hope for
 LIST_LAG_US = 1_500_000  # how late the list is taken to be until own binds have been seen in it
@@ -59,11 +61,15 @@
 POLL_MISSES = 16  # held tasks that find no room before a poll ends: in a jam the rest would not fit either
 GIVE_UP_TICKS = 3  # ticks before the deadline at which a held task is answered: two to act, one to spare
 REFUSE_AFTER_US = 200_000  # advice to a refused owner; owners wait a second or more anyhow
-TIMEOUT_AIMS = 1.5  # an attempt that may be repeated is given up after so many aims ...
-TIMEOUT_LEAST_US = 2_500_000  # ... but not before a start from nothing on a busy node can have ended
+TIMEOUT_STARTS = 5.0  # an attempt that may be repeated is given up after so many usual times to an answer ...
+TIMEOUT_LEAST_US = 1_500_000  # ... but not before a start from nothing can have ended
+START_US = 1_000_000  # usual time to an answer until answers have come
+START_MEAN = 0.05  # weight of one answer in its running mean
 SUSPEND_US = 700_000  # first rest of a node that failed; doubles with each further failure
 SUSPEND_MOST_US = 8_000_000  # long enough for a reboot, short enough to find a healed node again
 FULL_REST_US = 150_000  # rest after "too many offers wait": about one queue of looks
+OUT_START = 24.0  # unanswered binds a node may have until its own limit is learned
+OUT_CUT, OUT_GROW = 0.7, 0.05  # cut at each "too many wait", growth at each placing: a slow probing upward
 NO_ROOM_REST_US = 400_000  # rest after "no cores" or "no memory": until the list may show why
 COLD_SHARE_USED = 0.5  # of the surely borne offers of a cold node, so that a late word still leaves room
 COLD_OUT_MOST = 2  # unanswered binds on a cold node: its pace is a fraction of the usual
@@ -102,7 +108,7 @@
 class Attempt:
     """One offer of a task, from its send to its outcome."""
 
-    __slots__ = ("task", "shot", "node", "group", "zone", "sent", "change", "placed", "launched")
+    __slots__ = ("task", "shot", "node", "group", "zone", "sent", "change", "placed", "launched", "work")
 
     def __init__(self, task: Task, shot: int, node: Node | None, node_id: int, sent: int) -> None:
         self.task, self.shot, self.node, self.sent = task, shot, node_id, sent
@@ -111,6 +117,7 @@
         self.launched = node.entry.launched_us if node else 0
         self.change: Change | None = None
         self.placed = False
+        self.work = 1.0  # in starts that need no fetching
 
 
 class Node:
@@ -132,6 +139,7 @@
         self.cold_binds: deque[int] = deque()
         self.streak = 0
         self.rest_until = 0
+        self.out_most = OUT_START
         self.leaving = False  # a task was sent away from it: it drains, whatever the list says
 
     def asked(self, releases: bool = True) -> tuple[float, float]:
@@ -157,6 +165,10 @@
     def out(self) -> int:
         return sum(1 for a in self.attempts.values() if not a.placed)
 
+    def backlog(self) -> float:
+        """Own starts that wait there: slow, frozen and hung nodes show themselves by it."""
+        return sum(a.work for a in self.attempts.values() if not a.placed)
+
     def is_warm_for(self, service: int) -> bool:
         return self.services[service] > 0 or service in self.kept
 
@@ -193,6 +205,7 @@
 
     def served(self) -> None:
         self.streak = max(0, self.streak - 1)
+        self.out_most = min(OUT_START, self.out_most + OUT_GROW)
 
 
 class Open:
@@ -245,6 +258,7 @@
         self.polling = False
         self.watch_fails = 0
         self.lag = float(LIST_LAG_US)
+        self.start_us = float(START_US)  # running mean of the time to an answer, over all nodes
         self.spread: Counter[tuple[int, Scope, int]] = Counter()
         self.actions: list[Action] = []
 
@@ -427,6 +441,8 @@
         task, sort = job.task, job.sort
         if node.entry.status is not NodeStatus.READY or node.leaving or self.now < node.rest_until:
             return False
+        if node.out() >= node.out_most:
+            return False
         if sort.node_kind is not None and node.entry.kind != sort.node_kind:
             return False
         if task.id in self.open and node.entry.id in job.tried or not job.may_go_to(node, self.now, self.s.tick_us):
@@ -464,7 +480,7 @@
         """The roomiest of a few drawn nodes; those that know the program are drawn from first."""
         if not fitting:
             return None
-        room = {n.entry.id: n.share_with(job.task) for n in fitting}
+        room = {n.entry.id: n.share_with(job.task) + START_WEIGHT * n.backlog() for n in fitting}
         least = min(room.values())
         warm = [
             n for n in fitting if n.is_warm_for(job.task.service) and room[n.entry.id] <= least + WARM_SLACK
@@ -475,6 +491,7 @@
 
     def _bind(self, job: Open, node: Node) -> None:
         attempt = Attempt(job.task, job.shots, node, node.entry.id, self.now)
+        attempt.work = 1.0 if node.is_warm_for(job.task.service) else NEW_PROGRAM
         attempt.change = Change(self.now, job.task.cores, job.task.memory)
         node.changes.append(attempt.change)
         node.sums = None
@@ -507,7 +524,7 @@
             job.sort.effect is Effect.KEYED and job.sort.dedup_scope is Scope.ALL
         )
         left = job.task.expires_us - self.now
-        wait = max(TIMEOUT_LEAST_US, int(TIMEOUT_AIMS * job.sort.aim_us))
+        wait = max(TIMEOUT_LEAST_US, int(TIMEOUT_STARTS * self.start_us))
         if not again or job.shots >= self.s.max_attempts or wait * 1.3 > left:
             return 0
         return wait
@@ -527,6 +544,7 @@
         if attempt is None:
             return
         attempt.placed = True
+        self.start_us += START_MEAN * (event.latency_us - self.start_us)
         node = self._node_of(attempt)
         if node is not None:
             node.served()
@@ -583,6 +601,7 @@
         if event.result is Result.REFUSED:
             if reason is Reason.QUEUE_FULL:
                 node.rest_until = max(node.rest_until, self.now + FULL_REST_US)
+                node.out_most = max(1.0, OUT_CUT * min(node.out_most, node.out() + 1))
             elif reason in (Reason.NO_CORES, Reason.NO_MEMORY):
                 node.rest_until = max(node.rest_until, self.now + NO_ROOM_REST_US)
             elif reason is not Reason.NOT_HERE or attempt.task.again is False:
