A refusal for room stands until later word; late and over-share tasks leave a reserve

Cause: at full fleets all planners race for each release (refusals for cores where 0 to 2 were believed free).

--- a/stairplank/decide.py
+++ b/stairplank/decide.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import random
-from collections import Counter, deque
+from collections import Counter, defaultdict, deque
 from collections.abc import Callable, Iterable
 
 from .interface import (
@@ -70,7 +70,9 @@
 FULL_REST_US = 150_000  # rest after "too many offers wait": about one queue of looks
 OUT_START = 24.0  # unanswered binds a node may have until its own limit is learned
 OUT_CUT, OUT_GROW = 0.7, 0.05  # cut at each "too many wait", growth at each placing: a slow probing upward
-NO_ROOM_REST_US = 400_000  # rest after "no cores" or "no memory": until the list may show why
+NO_ROOM_US = 1_500_000  # for so long a "no cores" or "no memory" stands against as large a task, if no later word comes
+LATE_RESERVE = 0.05  # share of a node's room kept from tasks whose start can no longer be in time
+OVER_RESERVE = 0.15  # and from those beyond their tenant's share, which are worth a fraction
 COLD_SHARE_USED = 0.5  # of the surely borne offers of a cold node, so that a late word still leaves room
 COLD_OUT_MOST = 2  # unanswered binds on a cold node: its pace is a fraction of the usual
 WATCH_RETRY_US = 600_000  # before the list is asked for again after a failed call
@@ -140,6 +142,7 @@
         self.streak = 0
         self.rest_until = 0
         self.out_most = OUT_START
+        self.no_room: tuple[float, float, int] | None = None  # cores and memory refused, and when
         self.leaving = False  # a task was sent away from it: it drains, whatever the list says
 
     def asked(self, releases: bool = True) -> tuple[float, float]:
@@ -155,6 +158,8 @@
     def learn(self, free: tuple[float, float], as_of: int) -> None:
         """Take fresher figures; own changes they must show are dropped, so that each is counted once."""
         self.free, self.as_of, self.sums = free, as_of, None
+        if self.no_room and self.no_room[2] < as_of:
+            self.no_room = None
         self.changes = [c for c in self.changes if c.at > as_of]
 
     def share_with(self, task: Task) -> float:
@@ -259,6 +264,7 @@
         self.watch_fails = 0
         self.lag = float(LIST_LAG_US)
         self.start_us = float(START_US)  # running mean of the time to an answer, over all nodes
+        self.tenant_cores: dict[int, float] = defaultdict(float)
         self.spread: Counter[tuple[int, Scope, int]] = Counter()
         self.actions: list[Action] = []
 
@@ -447,12 +453,29 @@
             return False
         if task.id in self.open and node.entry.id in job.tried or not job.may_go_to(node, self.now, self.s.tick_us):
             return False
-        cores, memory = node.asked()
-        if cores + task.cores > self.s.cores_limit * node.cores + NEAR:
-            return False
-        if memory + task.memory > self.s.memory_limit * node.memory + NEAR:
+        return self._has_room(job, node) and self._cold_allows(node) and self._spread_allows(task, sort, node)
+
+    def _has_room(self, job: Open, node: Node) -> bool:
+        """Danger: full nodes draw offers of all planners at each release; a refusal counts for more than belief."""
+        task, refused = job.task, node.no_room
+        if refused and self.now < refused[2] + NO_ROOM_US and task.cores >= refused[0] and task.memory >= refused[1]:
             return False
-        return self._cold_allows(node) and self._spread_allows(task, sort, node)
+        cores, memory = node.asked()
+        spare = self._reserve(job)
+        return (
+            cores + task.cores <= (self.s.cores_limit - spare) * node.cores + NEAR
+            and memory + task.memory <= (self.s.memory_limit - spare) * node.memory + NEAR
+        )
+
+    def _reserve(self, job: Open) -> float:
+        """Room that less worthy tasks leave free for those that can still start in time."""
+        tenant = job.task.tenant
+        if tenant < len(self.s.tenant_quota_cores):
+            inside = self.s.tenant_quota_cores[tenant] / self.s.planners
+            if self.tenant_cores[tenant] + job.task.cores > inside:
+                return OVER_RESERVE
+        late = job.task.again or self.now > job.task.expires_us - job.sort.deadline_us + job.sort.aim_us
+        return LATE_RESERVE if late else 0.0
 
     def _is_cold(self, node: Node) -> bool:
         return 0 < node.entry.launched_us and self.now < node.entry.launched_us + self.s.cold_us
@@ -507,6 +530,7 @@
         self.attempts[attempt.task.id, attempt.shot] = attempt
         if node is not None:
             node.add(attempt)
+        self.tenant_cores[attempt.task.tenant] += attempt.task.cores
         self._spread_count(attempt, 1)
 
     def _spread_count(self, attempt: Attempt, by: int) -> None:
@@ -561,6 +585,7 @@
         attempt = self.attempts.pop((event.task, event.attempt), None)
         if attempt is None:
             return
+        self.tenant_cores[attempt.task.tenant] -= attempt.task.cores
         self._spread_count(attempt, -1)
         self._report(event.node, event.report)
         node = self._node_of(attempt)
@@ -593,6 +618,7 @@
             if change in node.changes:
                 node.changes.remove(change)
         elif attempt.placed:
+            node.no_room = None
             node.changes.append(Change(self.now, -attempt.task.cores, -attempt.task.memory))
 
     def _judge(self, node: Node, attempt: Attempt, event: Outcome) -> None:
@@ -603,7 +629,7 @@
                 node.rest_until = max(node.rest_until, self.now + FULL_REST_US)
                 node.out_most = max(1.0, OUT_CUT * min(node.out_most, node.out() + 1))
             elif reason in (Reason.NO_CORES, Reason.NO_MEMORY):
-                node.rest_until = max(node.rest_until, self.now + NO_ROOM_REST_US)
+                node.no_room = (attempt.task.cores, attempt.task.memory, self.now)
             elif reason is not Reason.NOT_HERE or attempt.task.again is False:
                 node.failed(self.now)
         elif event.result in (Result.ERROR, Result.UNREACHABLE, Result.TIMEOUT):
