--- a/stairplank/decide.py
+++ b/stairplank/decide.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import random
-from collections import Counter, defaultdict, deque
+from collections import Counter, deque
 from collections.abc import Callable, Iterable
 
 from .interface import (
@@ -72,7 +72,6 @@
 OUT_CUT, OUT_GROW = 0.7, 0.05  # cut at each "too many wait", growth at each placing: a slow probing upward
 NO_ROOM_US = 1_500_000  # for so long a "no cores" or "no memory" stands against as large a task, if no later word comes
 LATE_RESERVE = 0.05  # share of a node's room kept from tasks whose start can no longer be in time
-OVER_RESERVE = 0.15  # and from those beyond their tenant's share, which are worth a fraction
 COLD_SHARE_USED = 0.5  # of the surely borne offers of a cold node, so that a late word still leaves room
 COLD_OUT_MOST = 2  # unanswered binds on a cold node: its pace is a fraction of the usual
 WATCH_RETRY_US = 600_000  # before the list is asked for again after a failed call
@@ -264,7 +263,6 @@
         self.watch_fails = 0
         self.lag = float(LIST_LAG_US)
         self.start_us = float(START_US)  # running mean of the time to an answer, over all nodes
-        self.tenant_cores: dict[int, float] = defaultdict(float)
         self.spread: Counter[tuple[int, Scope, int]] = Counter()
         self.actions: list[Action] = []
 
@@ -469,11 +467,6 @@
 
     def _reserve(self, job: Open) -> float:
         """Room that less worthy tasks leave free for those that can still start in time."""
-        tenant = job.task.tenant
-        if tenant < len(self.s.tenant_quota_cores):
-            inside = self.s.tenant_quota_cores[tenant] / self.s.planners
-            if self.tenant_cores[tenant] + job.task.cores > inside:
-                return OVER_RESERVE
         late = job.task.again or self.now > job.task.expires_us - job.sort.deadline_us + job.sort.aim_us
         return LATE_RESERVE if late else 0.0
 
@@ -530,7 +523,6 @@
         self.attempts[attempt.task.id, attempt.shot] = attempt
         if node is not None:
             node.add(attempt)
-        self.tenant_cores[attempt.task.tenant] += attempt.task.cores
         self._spread_count(attempt, 1)
 
     def _spread_count(self, attempt: Attempt, by: int) -> None:
@@ -585,7 +577,6 @@
         attempt = self.attempts.pop((event.task, event.attempt), None)
         if attempt is None:
             return
-        self.tenant_cores[attempt.task.tenant] -= attempt.task.cores
         self._spread_count(attempt, -1)
         self._report(event.node, event.report)
         node = self._node_of(attempt)
