A node is healed by starts that run, slowly

Cause: where an acceptance is confirmed before the start, a node that fails its starts was healed by each acceptance.

--- a/stairplank/decide.py
+++ b/stairplank/decide.py
@@ -25,6 +25,7 @@
     NodeList,
     NodeStatus,
     Note,
+    NoteKind,
     Outcome,
     Placed,
     Probe,
@@ -66,6 +67,7 @@
 START_US = 1_000_000  # usual time to an answer until answers have come
 START_MEAN = 0.05  # weight of one answer in its running mean
 SUSPEND_US = 700_000  # first rest of a node that failed; doubles with each further failure
+HEALED = 0.34  # of a failure that one good start makes up for: a node that fails every third start stays out
 SUSPEND_MOST_US = 8_000_000  # long enough for a reboot, short enough to find a healed node again
 FULL_REST_US = 150_000  # rest after "too many offers wait": about one queue of looks
 OUT_START = 24.0  # unanswered binds a node may have until its own limit is learned
@@ -138,7 +140,7 @@
         self.services: Counter[int] = Counter()
         self.kept: deque[int] = deque(maxlen=KEPT_PROGRAMS)
         self.cold_binds: deque[int] = deque()
-        self.streak = 0
+        self.streak = 0.0
         self.rest_until = 0
         self.out_most = OUT_START
         self.no_room: tuple[float, float, int] | None = None  # cores and memory refused, and when
@@ -198,17 +200,18 @@
         self.services.clear()
         self.kept.clear()
         self.cold_binds.clear()
-        self.streak = self.rest_until = 0
+        self.streak, self.rest_until = 0.0, 0
         self.leaving = False
 
     def failed(self, now: int) -> None:
         """Rest it, twice as long with each failure. Danger: a node that fails fast looks roomy and draws tasks."""
         if now >= self.rest_until or self.streak == 0:
             self.streak += 1
-        self.rest_until = max(self.rest_until, now + min(SUSPEND_US << min(self.streak - 1, 8), SUSPEND_MOST_US))
+        rest = int(SUSPEND_US * 2 ** min(self.streak - 1, 8))
+        self.rest_until = max(self.rest_until, now + min(rest, SUSPEND_MOST_US))
 
     def served(self) -> None:
-        self.streak = max(0, self.streak - 1)
+        self.streak = max(0.0, self.streak - HEALED)
         self.out_most = min(OUT_START, self.out_most + OUT_GROW)
 
 
@@ -289,7 +292,7 @@
             case Probed(node_id, _, _, report):
                 self._report(node_id, report)
             case Note():
-                pass
+                self._note(event)
         return self.actions
 
     def _timer(self, at: int, call: Callable[[], None]) -> None:
@@ -562,12 +565,18 @@
         attempt.placed = True
         self.start_us += START_MEAN * (event.latency_us - self.start_us)
         node = self._node_of(attempt)
-        if node is not None:
+        if node is not None and self.s.confirms_running:
             node.served()
         job = self.open.pop(event.task, None)
         if job is not None:
             self.held.pop(event.task, None)
 
+    def _note(self, event: Note) -> None:
+        attempt = self.attempts.get((event.task, event.attempt))
+        node = self._node_of(attempt) if attempt else None
+        if node is not None and event.kind is NoteKind.RUNNING:
+            node.served()  # an acceptance alone proves nothing: the start may still fail
+
     def _node_of(self, attempt: Attempt) -> Node | None:
         """The node of an attempt, unless it has started anew since."""
         node = self.nodes.get(attempt.node)
