Cores count by their use in the pick

Cause: tasks of a service use far more or less than they ask; equal asked shares hide crowded nodes. A node's reported use over its asked share, against the mean of all nodes, now scales its share.

--- a/stairplank/decide.py
+++ b/stairplank/decide.py
@@ -54,6 +54,8 @@
 KEPT_PROGRAMS = 4  # programs a node is taken to keep after their last task: the least one may hope for
 LIST_LAG_US = 1_500_000  # how late the list is taken to be until own binds have been seen in it
 REPORT_LAG_US = 700_000  # age of a report on arrival: half a refresh and the way; too high only counts binds longer
+USE_SHARE_LEAST = 0.2  # below this asked share, use over asked is mostly noise
+USE_WEIGHT = 0.5  # of one report in a node's running mean of use: tasks change within seconds
 PROBE_GAP_US = 300_000  # a node's report is not refreshed faster than this, so neither is it asked for
 PROBE_PRICE_MOST = 0.01  # points for one probe a task up to which a probe rides with every task
 LAG_WEIGHT = 0.1  # of one sighting in the running mean of the list's lag: a dozen sightings settle it
@@ -134,6 +136,7 @@
         self.free = (entry.free_cores, entry.free_memory)  # the freshest figures, from the list or a report
         self.as_of = 0  # when they were true, as far as can be told
         self.probed_at = 0
+        self.use: float | None = None  # busy share of the cores over their asked share
         self.changes: list[Change] = []
         self.sums: tuple[tuple[float, float], tuple[float, float]] | None = None  # None: to be added up anew
         self.attempts: dict[tuple[int, int], Attempt] = {}
@@ -163,10 +166,18 @@
             self.no_room = None
         self.changes = [c for c in self.changes if c.at > as_of]
 
-    def share_with(self, task: Task) -> float:
-        """The larger asked share once the task is on it."""
+    def learn_use(self, busy: float) -> None:
+        """How much of the cores that are asked for is in use there."""
+        share = (self.cores - self.free[0]) / self.cores
+        if share > USE_SHARE_LEAST:
+            seen = busy / share
+            self.use = seen if self.use is None else self.use + USE_WEIGHT * (seen - self.use)
+
+    def share_with(self, task: Task, use: float) -> float:
+        """The larger asked share once the task is on it; cores that are used more than usual count for more."""
         cores, memory = self.asked()
-        return max((cores + task.cores) / self.cores, (memory + task.memory) / self.memory)
+        crowd = 1.0 if self.use is None else self.use / use
+        return max((cores + task.cores) / self.cores * crowd, (memory + task.memory) / self.memory)
 
     def out(self) -> int:
         return sum(1 for a in self.attempts.values() if not a.placed)
@@ -199,6 +210,7 @@
         self.attempts.clear()
         self.services.clear()
         self.kept.clear()
+        self.use = None
         self.cold_binds.clear()
         self.streak, self.rest_until = 0.0, 0
         self.leaving = False
@@ -362,6 +374,8 @@
         as_of = self.now - REPORT_LAG_US
         if as_of > node.as_of:
             node.learn((values["free_cores"], values["free_memory"]), as_of)
+            if "util" in values:
+                node.learn_use(values["util"])
 
     def _probe_one(self) -> None:
         """Each task asked buys one probe, of the node least recently heard of."""
@@ -499,7 +513,9 @@
         """The roomiest of a few drawn nodes; those that know the program are drawn from first."""
         if not fitting:
             return None
-        room = {n.entry.id: n.share_with(job.task) + START_WEIGHT * n.backlog() for n in fitting}
+        seen = [n.use for n in self.nodes.values() if n.use is not None]
+        use = max(sum(seen) / len(seen), NEAR) if seen else 1.0
+        room = {n.entry.id: n.share_with(job.task, use) + START_WEIGHT * n.backlog() for n in fitting}
         least = min(room.values())
         warm = [
             n for n in fitting if n.is_warm_for(job.task.service) and room[n.entry.id] <= least + WARM_SLACK
