--- a/stairplank/decide.py
+++ b/stairplank/decide.py
@@ -66,9 +66,6 @@
 REFUSE_AFTER_US = 200_000  # advice to a refused owner; owners wait a second or more anyhow
 TIMEOUT_STARTS = 5.0  # an attempt that may be repeated is given up after so many usual times to an answer ...
 TIMEOUT_LEAST_US = 1_500_000  # ... but not before a start from nothing can have ended
-ACCEPT_LEAST_US = 400_000  # the same where the answer is only an acceptance: many looks of a node at an offer
-SILENT_STARTS = 3.0  # a node that owes an answer for so many usual times gets nothing new until it speaks
-SILENT_LEAST_US = 250_000  # ... but a short pause is no silence
 START_US = 1_000_000  # usual time to an answer until answers have come
 START_MEAN = 0.05  # weight of one answer in its running mean
 SUSPEND_US = 700_000  # first rest of a node that failed; doubles with each further failure
@@ -465,7 +462,7 @@
         task, sort = job.task, job.sort
         if node.entry.status is not NodeStatus.READY or node.leaving or self.now < node.rest_until:
             return False
-        if node.out() >= node.out_most or self._is_silent(node):
+        if node.out() >= node.out_most:
             return False
         if sort.node_kind is not None and node.entry.kind != sort.node_kind:
             return False
@@ -473,11 +470,6 @@
             return False
         return self._has_room(job, node) and self._cold_allows(node) and self._spread_allows(task, sort, node)
 
-    def _is_silent(self, node: Node) -> bool:
-        """Danger: a hung, frozen or cut-off node takes task after task before the first time-out tells."""
-        since = min((a.sent for a in node.attempts.values() if not a.placed), default=self.now)
-        return self.now - since > max(SILENT_LEAST_US, SILENT_STARTS * self.start_us)
-
     def _has_room(self, job: Open, node: Node) -> bool:
         """Danger: full nodes draw offers of all planners at each release; a refusal counts for more than belief."""
         task, refused = job.task, node.no_room
@@ -567,8 +559,7 @@
             job.sort.effect is Effect.KEYED and job.sort.dedup_scope is Scope.ALL
         )
         left = job.task.expires_us - self.now
-        least = TIMEOUT_LEAST_US if self.s.confirms_running else ACCEPT_LEAST_US
-        wait = max(least, int(TIMEOUT_STARTS * self.start_us))
+        wait = max(TIMEOUT_LEAST_US, int(TIMEOUT_STARTS * self.start_us))
         if not again or job.shots >= self.s.max_attempts or wait * 1.3 > left:
             return 0
         return wait
