--- a/stairplank/decide.py
+++ b/stairplank/decide.py
@@ -69,6 +69,7 @@
 START_US = 1_000_000  # usual time to an answer until answers have come
 START_MEAN = 0.05  # weight of one answer in its running mean
 SUSPEND_US = 700_000  # first rest of a node that failed; doubles with each further failure
+SUSPEND_QUICK_US = 1_000_000  # longest rest after a quick error: a retry costs little, idle nodes cost much
 HEALED = 0.34  # of a failure that one good start makes up for: a node that fails every third start stays out
 SUSPEND_MOST_US = 8_000_000  # long enough for a reboot, short enough to find a healed node again
 FULL_REST_US = 150_000  # rest after "too many offers wait": about one queue of looks
@@ -215,12 +216,12 @@
         self.streak, self.rest_until = 0.0, 0
         self.leaving = False
 
-    def failed(self, now: int) -> None:
+    def failed(self, now: int, most: int) -> None:
         """Rest it, twice as long with each failure. Danger: a node that fails fast looks roomy and draws tasks."""
         if now >= self.rest_until or self.streak == 0:
             self.streak += 1
         rest = int(SUSPEND_US * 2 ** min(self.streak - 1, 8))
-        self.rest_until = max(self.rest_until, now + min(rest, SUSPEND_MOST_US))
+        self.rest_until = max(self.rest_until, now + min(rest, most))
 
     def served(self) -> None:
         self.streak = max(0.0, self.streak - HEALED)
@@ -646,15 +647,17 @@
                 node.out_most = max(1.0, OUT_CUT * min(node.out_most, node.out() + 1))
             elif reason in (Reason.NO_CORES, Reason.NO_MEMORY):
                 node.no_room = (attempt.task.cores, attempt.task.memory, self.now)
-            elif reason is not Reason.NOT_HERE or attempt.task.again is False:
-                node.failed(self.now)
-        elif event.result in (Result.ERROR, Result.UNREACHABLE, Result.TIMEOUT):
-            node.failed(self.now)
+            elif reason is Reason.UNTOLD:
+                node.failed(self.now, SUSPEND_QUICK_US)
+        elif event.result is Result.ERROR:
+            node.failed(self.now, SUSPEND_QUICK_US)
+        elif event.result in (Result.UNREACHABLE, Result.TIMEOUT):
+            node.failed(self.now, SUSPEND_MOST_US)
         elif event.result is Result.LOST:
             if reason is Reason.SENT_AWAY:
                 node.leaving = True
             elif reason is Reason.UNTOLD:
-                node.failed(self.now)
+                node.failed(self.now, SUSPEND_MOST_US)
 
     # Answers and waiting
 
