--- a/stairplank/decide.py
+++ b/stairplank/decide.py
@@ -48,8 +48,6 @@
 )
 
 DRAWN = 3  # nodes drawn in a part, the roomiest is taken: two leave too much to chance in parts of three or four
-PACK_FILL = 0.72  # where idle nodes save money, so full the open ones may be before a further one is opened
-USE_MEAN = 0.02  # weight of one note in the running mean of memory in use over memory asked for
 START_WEIGHT = 0.01  # share of a node that one start waiting there counts as, so that starts spread in time too
 NEW_PROGRAM = 8.0  # starts that one start from nothing is worth: the program must be fetched first
 WARM_SLACK = 0.2  # a node that knows the program is preferred while at most so much fuller than the roomiest
@@ -96,17 +94,12 @@
     return other_upper >= exact + 1 if at_upper else other_upper >= exact
 
 
-def rank_of(node: int) -> int:
-    """A stable hash of a node's id: the same at every planner, whatever each knows."""
+def part_of(node: int, planners: int) -> int:
+    """The planner that owns a node: the same at every planner, whatever each knows."""
     x = (node + 0x9E3779B97F4A7C15) & 0xFFFFFFFFFFFFFFFF
     x = ((x ^ (x >> 30)) * HASH_1) & 0xFFFFFFFFFFFFFFFF
     x = ((x ^ (x >> 27)) * HASH_2) & 0xFFFFFFFFFFFFFFFF
-    return x ^ (x >> 31)
-
-
-def part_of(node: int, planners: int) -> int:
-    """The planner that owns a node."""
-    return rank_of(node) % planners
+    return (x ^ (x >> 31)) % planners
 
 
 class Change:
@@ -140,7 +133,7 @@
         self.entry = entry
         kind = settings.kinds[entry.kind]
         self.cores, self.memory = kind.cores, kind.memory
-        self.part, self.rank = part_of(entry.id, settings.planners), rank_of(entry.id)
+        self.part = part_of(entry.id, settings.planners)
         self.free = (entry.free_cores, entry.free_memory)  # the freshest figures, from the list or a report
         self.as_of = 0  # when they were true, as far as can be told
         self.probed_at = 0
@@ -286,7 +279,6 @@
         self.watch_fails = 0
         self.lag = float(LIST_LAG_US)
         self.start_us = float(START_US)  # running mean of the time to an answer, over all nodes
-        self.memory_use = 1.0  # running mean of memory in use over memory asked for, where tasks tell
         self.spread: Counter[tuple[int, Scope, int]] = Counter()
         self.actions: list[Action] = []
 
@@ -437,47 +429,19 @@
         other = home
         if self.s.planners > 1:
             other = (home + 1 + self.rng.randrange(self.s.planners - 1)) % self.s.planners
-        opened = self._opened()
-        first, second = (home, other) if self._stays(home, other, opened) else (other, home)
-        fitting = [n for n in opened if self._fits(job, n)]
+        first, second = (home, other) if self._stays(home, other) else (other, home)
+        fitting = [n for n in self.nodes.values() if self._fits(job, n)]
         for part in (first, second):
             node = self._draw(job, [n for n in fitting if n.part == part])
             if node is not None:
                 return node
-        return self._draw(job, fitting or [n for n in self.nodes.values() if self._fits(job, n)])
-
-    def _opened(self) -> list[Node]:
-        """All ready nodes; where nodes that hold a task cost points, the first in hash order that hold the load.
-
-        Danger: too few open nodes crowd; others open as soon as the estimated fill passes PACK_FILL.
-        """
-        ready = [n for n in self.nodes.values() if n.entry.status is NodeStatus.READY and not n.leaving]
-        if self.s.price_fleet <= 0 or not ready:
-            return ready
-        use = self._mean_use()
-        asked = [n.asked() for n in ready]
-        cores, memory = sum(a[0] for a in asked), sum(a[1] for a in asked)
-        core_need = max(cores * use, cores / self.s.cores_limit)
-        memory_need = max(memory * self.memory_use, memory / self.s.memory_limit)
-        ready.sort(key=lambda n: n.rank)
-        count = 0
-        for count, node in enumerate(ready, 1):
-            core_need -= PACK_FILL * node.cores
-            memory_need -= PACK_FILL * node.memory
-            if max(core_need, memory_need) <= 0 and count >= self.s.planners:
-                break
-        return ready[:count]
-
-    def _mean_use(self) -> float:
-        """Busy cores over asked cores, over all nodes heard of."""
-        seen = [n.use for n in self.nodes.values() if n.use is not None]
-        return max(sum(seen) / len(seen), NEAR) if seen else 1.0
+        return self._draw(job, fitting)
 
-    def _stays(self, home: int, other: int, opened: list[Node]) -> bool:
+    def _stays(self, home: int, other: int) -> bool:
         if other == home:
             return True
-        mine = [n for n in opened if n.part == home]
-        theirs = [n for n in opened if n.part == other]
+        mine = [n for n in self.nodes.values() if n.part == home and n.entry.status is NodeStatus.READY]
+        theirs = [n for n in self.nodes.values() if n.part == other and n.entry.status is NodeStatus.READY]
         if not mine or not theirs:  # an empty part counts as full
             return bool(mine)
         exact, upper = self._load(mine, mine, True), self._load(mine, mine, False)
@@ -550,7 +514,8 @@
         """The roomiest of a few drawn nodes; those that know the program are drawn from first."""
         if not fitting:
             return None
-        use = self._mean_use()
+        seen = [n.use for n in self.nodes.values() if n.use is not None]
+        use = max(sum(seen) / len(seen), NEAR) if seen else 1.0
         room = {n.entry.id: n.share_with(job.task, use) + START_WEIGHT * n.backlog() for n in fitting}
         least = min(room.values())
         warm = [
@@ -626,8 +591,6 @@
     def _note(self, event: Note) -> None:
         attempt = self.attempts.get((event.task, event.attempt))
         node = self._node_of(attempt) if attempt else None
-        if attempt is not None and event.kind is NoteKind.MEMORY_USED and attempt.task.memory > 0:
-            self.memory_use += USE_MEAN * (event.level / attempt.task.memory - self.memory_use)
         if node is not None and event.kind is NoteKind.RUNNING:
             node.served()  # an acceptance alone proves nothing: the start may still fail
 
