--- a/stairplank/__init__.py
+++ b/stairplank/__init__.py
@@ -1,4 +1,4 @@
-"""stairplank: the decisions of a cluster scheduler of which many planners run side by side, sharing nothing."""
+"""The decisions of a cluster scheduler of which many planners run side by side, sharing nothing."""
 
 from .decide import Planner
 from .interface import Settings
--- a/stairplank/decide.py
+++ b/stairplank/decide.py
@@ -1,7 +1,7 @@
 """All decisions of one planner. The types it is fed and returns are in interface.py.
 
 Read from the top: the threshold rule, what is known of a node, then Planner. Ordinary path of a task:
-``_asked`` -> ``_try_place`` -> ``_choose`` (own part or the compared one, by ``keeps_home``) -> ``_draw`` -> ``_bind``.
+_asked -> _try_place -> _choose (own or compared part, by keeps_home) -> _draw -> _bind.
 docs/design.md says what comes from the paper, what departs from it and when each departure acts.
 """
 
@@ -9,51 +9,23 @@
 
 import random
 from collections import Counter, deque
-from collections.abc import Callable, Iterable
-
-from .interface import (
-    PROVES_NOT_RUN,
-    Action,
-    Bind,
-    Effect,
-    Event,
-    Fail,
-    FetchList,
-    ListKind,
-    Log,
-    NodeEntry,
-    NodeList,
-    NodeStatus,
-    Note,
-    NoteKind,
-    Outcome,
-    Placed,
-    Probe,
-    Probed,
-    Reason,
-    Refuse,
-    Result,
-    Scope,
-    SetTimer,
-    Settings,
-    Started,
-    StopAttempt,
-    Task,
-    TaskAdopted,
-    TaskAsked,
-    TaskClass,
-    TaskWithdrawn,
-    TimerFired,
-    Watch,
-)
+from collections.abc import Callable
+
+from . import interface as api
 
-DRAWN = 3  # nodes drawn in a part, the roomiest is taken: two leave too much to chance in parts of three or four
-START_WEIGHT = 0.01  # share of a node that one start waiting there counts as, so that starts spread in time too
+DRAWN = (
+    3  # nodes drawn in a part, the roomiest is taken: two leave too much to chance in parts of three or four
+)
+START_WEIGHT = (
+    0.01  # share of a node that one start waiting there counts as, so that starts spread in time too
+)
 NEW_PROGRAM = 8.0  # starts that one start from nothing is worth: the program must be fetched first
 WARM_SLACK = 0.2  # a node that knows the program is preferred while at most so much fuller than the roomiest
 KEPT_PROGRAMS = 4  # programs a node is taken to keep after their last task: the least one may hope for
 LIST_LAG_US = 1_500_000  # how late the list is taken to be until own binds have been seen in it
-REPORT_LAG_US = 700_000  # age of a report on arrival: half a refresh and the way; too high only counts binds longer
+REPORT_LAG_US = (
+    700_000  # age of a report on arrival: half a refresh and the way; too high only counts binds longer
+)
 USE_SHARE_LEAST = 0.2  # below this asked share, use over asked is mostly noise
 USE_WEIGHT = 0.5  # of one report in a node's running mean of use: tasks change within seconds
 PROBE_GAP_US = 300_000  # a node's report is not refreshed faster than this, so neither is it asked for
@@ -74,8 +46,8 @@
 SUSPEND_MOST_US = 8_000_000  # long enough for a reboot, short enough to find a healed node again
 FULL_REST_US = 150_000  # rest after "too many offers wait": about one queue of looks
 OUT_START = 24.0  # unanswered binds a node may have until its own limit is learned
-OUT_CUT, OUT_GROW = 0.7, 0.05  # cut at each "too many wait", growth at each placing: a slow probing upward
-NO_ROOM_US = 1_500_000  # for so long a "no cores" or "no memory" stands against as large a task, if no later word comes
+OUT_CUT, OUT_GROW = 0.7, 0.05  # at each "too many wait", at each placing: slowly up again
+NO_ROOM_US = 1_500_000  # so long a refusal for room stands against as large a task, if no later word comes
 LATE_RESERVE = 0.05  # share of a node's room kept from tasks whose start can no longer be in time
 COLD_SHARE_USED = 0.5  # of the surely borne offers of a cold node, so that a late word still leaves room
 COLD_OUT_MOST = 2  # unanswered binds on a cold node: its pace is a fraction of the usual
@@ -116,7 +88,7 @@
 
     __slots__ = ("task", "shot", "node", "group", "zone", "sent", "change", "placed", "launched", "work")
 
-    def __init__(self, task: Task, shot: int, node: Node | None, node_id: int, sent: int) -> None:
+    def __init__(self, task: api.Task, shot: int, node: Node | None, node_id: int, sent: int) -> None:
         self.task, self.shot, self.node, self.sent = task, shot, node_id, sent
         self.group = node.entry.group if node else -1
         self.zone = node.entry.zone if node else -1
@@ -129,7 +101,7 @@
 class Node:
     """What this planner knows of one listed node."""
 
-    def __init__(self, entry: NodeEntry, settings: Settings) -> None:
+    def __init__(self, entry: api.NodeEntry, settings: api.Settings) -> None:
         self.entry = entry
         kind = settings.kinds[entry.kind]
         self.cores, self.memory = kind.cores, kind.memory
@@ -174,8 +146,8 @@
             seen = busy / share
             self.use = seen if self.use is None else self.use + USE_WEIGHT * (seen - self.use)
 
-    def share_with(self, task: Task, use: float) -> float:
-        """The larger asked share once the task is on it; cores that are used more than usual count for more."""
+    def share_with(self, task: api.Task, use: float) -> float:
+        """The larger asked share with the task on it; cores used more than usual count for more."""
         cores, memory = self.asked()
         crowd = 1.0 if self.use is None else self.use / use
         return max((cores + task.cores) / self.cores * crowd, (memory + task.memory) / self.memory)
@@ -217,7 +189,7 @@
         self.leaving = False
 
     def failed(self, now: int, most: int) -> None:
-        """Rest it, twice as long with each failure. Danger: a node that fails fast looks roomy and draws tasks."""
+        """Rest it, longer each time. Danger: a node that fails fast looks roomy and draws tasks."""
         if now >= self.rest_until or self.streak == 0:
             self.streak += 1
         rest = int(SUSPEND_US * 2 ** min(self.streak - 1, 8))
@@ -233,7 +205,7 @@
 
     __slots__ = ("task", "sort", "shots", "out", "tried", "risk_sent", "risk_node")
 
-    def __init__(self, task: Task, sort: TaskClass) -> None:
+    def __init__(self, task: api.Task, sort: api.TaskClass) -> None:
         self.task, self.sort = task, sort
         self.shots = 0
         self.out: Attempt | None = None
@@ -244,28 +216,28 @@
     def may_go_to(self, node: Node, now: int, tick: int) -> bool:
         """Rule 2: where a further attempt may go once an earlier one may have run."""
         first = self.risk_node
-        if first is None or self.sort.effect is Effect.REPEATABLE:
+        if first is None or self.sort.effect is api.Effect.REPEATABLE:
             return True
-        if self.sort.effect is Effect.ONCE or now + 2 * tick >= first.sent + self.sort.window_us:
+        if self.sort.effect is api.Effect.ONCE or now + 2 * tick >= first.sent + self.sort.window_us:
             return False
         scope = self.sort.dedup_scope
-        if scope is Scope.ALL:
+        if scope is api.Scope.ALL:
             return True
-        if scope is Scope.ZONE:
+        if scope is api.Scope.ZONE:
             return node.entry.zone == first.zone
-        return scope is Scope.GROUP and node.entry.group == first.group
+        return scope is api.Scope.GROUP and node.entry.group == first.group
 
     def may_refuse(self) -> bool:
         """Rule 2: a refusal promises that a retry does no harm."""
-        if self.risk_node is None or self.sort.effect is Effect.REPEATABLE:
+        if self.risk_node is None or self.sort.effect is api.Effect.REPEATABLE:
             return True
-        return self.sort.effect is Effect.KEYED and self.sort.dedup_scope is Scope.ALL
+        return self.sort.effect is api.Effect.KEYED and self.sort.dedup_scope is api.Scope.ALL
 
 
 class Planner:
     """One planner: ``handle`` takes the time and an event and returns the actions to carry out."""
 
-    def __init__(self, settings: Settings, seed: int) -> None:
+    def __init__(self, settings: api.Settings, seed: int) -> None:
         self.s = settings
         self.rng = random.Random(seed)
         self.now = 0
@@ -279,64 +251,64 @@
         self.watch_fails = 0
         self.lag = float(LIST_LAG_US)
         self.start_us = float(START_US)  # running mean of the time to an answer, over all nodes
-        self.spread: Counter[tuple[int, Scope, int]] = Counter()
-        self.actions: list[Action] = []
+        self.spread: Counter[tuple[int, api.Scope, int]] = Counter()
+        self.actions: list[api.Action] = []
 
-    def handle(self, now: int, event: Event) -> list[Action]:
+    def handle(self, now: int, event: api.Event) -> list[api.Action]:
         self.now = now
         self.actions = []
         match event:
-            case Started():
+            case api.Started():
                 self._watch()
-            case NodeList():
+            case api.NodeList():
                 self._list(event)
-            case TaskAsked(task):
+            case api.TaskAsked(task):
                 self._asked(task)
-            case TaskAdopted(task, node):
+            case api.TaskAdopted(task, node):
                 self._adopted(task, node)
-            case Placed():
+            case api.Placed():
                 self._placed(event)
-            case Outcome():
+            case api.Outcome():
                 self._outcome(event)
-            case TaskWithdrawn(task_id):
+            case api.TaskWithdrawn(task_id):
                 self._close(task_id)
-            case TimerFired(token):
+            case api.TimerFired(token):
                 self.timers.pop(token, lambda: None)()
-            case Probed(node_id, _, _, report):
+            case api.Probed(node_id, _, _, report):
                 self._report(node_id, report)
-            case Note():
+            case api.Note():
                 self._note(event)
         return self.actions
 
     def _timer(self, at: int, call: Callable[[], None]) -> None:
         self.next_token = (self.next_token + 1) & 0xFFFFFFFF
         self.timers[self.next_token] = call
-        self.actions.append(SetTimer(max(at, self.now), self.next_token))
+        self.actions.append(api.SetTimer(max(at, self.now), self.next_token))
 
     # The node list
 
     def _watch(self) -> None:
         if self.s.must_ask:
-            self.actions.append(Watch())
+            self.actions.append(api.Watch())
 
-    def _list(self, event: NodeList) -> None:
-        if event.kind is ListKind.FAILED:
+    def _list(self, event: api.NodeList) -> None:
+        if event.kind is api.ListKind.FAILED:
             # Danger: without a subscription drains and restarts go unheard; keep asking, slower each time.
             self.watch_fails += 1
             wait = min(WATCH_RETRY_US << min(self.watch_fails - 1, 4), WATCH_RETRY_MOST_US)
             self._timer(self.now + wait, self._watch)
             return
-        if event.kind is not ListKind.CACHED:
+        if event.kind is not api.ListKind.CACHED:
             self.watch_fails = 0
-        if event.kind is not ListKind.CHANGES:
+        if event.kind is not api.ListKind.CHANGES:
             listed = {entry.id for entry in event.nodes}
             for node_id in [n for n in self.nodes if n not in listed]:
                 del self.nodes[node_id]
         for entry in event.nodes:
             self._entry(entry)
 
-    def _entry(self, entry: NodeEntry) -> None:
-        if entry.status is NodeStatus.GONE or not 0 <= entry.kind < len(self.s.kinds):
+    def _entry(self, entry: api.NodeEntry) -> None:
+        if entry.status is api.NodeStatus.GONE or not 0 <= entry.kind < len(self.s.kinds):
             self.nodes.pop(entry.id, None)
             return
         node = self.nodes.get(entry.id)
@@ -350,8 +322,8 @@
         elif self.s.shows_free:
             self._shown(node, old, entry)
 
-    def _shown(self, node: Node, old: NodeEntry, new: NodeEntry) -> None:
-        """Take the list's figures. Danger: a bind counted twice, or not at all; own binds found in it date it."""
+    def _shown(self, node: Node, old: api.NodeEntry, new: api.NodeEntry) -> None:
+        """Take the list's figures; own binds found in it date it. Danger: one counted twice or never."""
         cores, memory = old.free_cores - new.free_cores, old.free_memory - new.free_memory
         if abs(cores) < NEAR and abs(memory) < NEAR:
             return
@@ -383,15 +355,15 @@
         if not self.s.may_probe or self.s.price_probe > PROBE_PRICE_MOST:
             return
         due = [n for n in self.nodes.values() if max(n.as_of, n.probed_at) < self.now - PROBE_GAP_US]
-        due = [n for n in due if n.entry.status is NodeStatus.READY]
+        due = [n for n in due if n.entry.status is api.NodeStatus.READY]
         if due:
             node = min(due, key=lambda n: (max(n.as_of, n.probed_at), n.entry.id))
             node.probed_at = self.now
-            self.actions.append(Probe(node.entry.id))
+            self.actions.append(api.Probe(node.entry.id))
 
     # The ordinary path
 
-    def _asked(self, task: Task) -> None:
+    def _asked(self, task: api.Task) -> None:
         if task.id in self.open or not 0 <= task.class_index < len(self.s.classes):
             return
         self.open[task.id] = Open(task, self.s.classes[task.class_index])
@@ -400,7 +372,7 @@
         self._try_place(self.open[task.id])
 
     def _try_place(self, job: Open) -> None:
-        """Bind the task, hold it until something fits, or answer where no further attempt is allowed."""
+        """api.Bind the task, hold it until something fits, or answer where no further attempt is allowed."""
         self.held.pop(job.task.id, None)
         if job.shots >= self.s.max_attempts or not self._may_try_again(job):
             self._give_up(job)
@@ -419,12 +391,15 @@
 
     def _may_try_again(self, job: Open) -> bool:
         first = job.risk_node
-        if first is None or job.sort.effect is Effect.REPEATABLE:
+        if first is None or job.sort.effect is api.Effect.REPEATABLE:
             return True
-        return job.sort.effect is Effect.KEYED and self.now + 2 * self.s.tick_us < first.sent + job.sort.window_us
+        return (
+            job.sort.effect is api.Effect.KEYED
+            and self.now + 2 * self.s.tick_us < first.sent + job.sort.window_us
+        )
 
     def _choose(self, job: Open) -> Node | None:
-        """The own part or the compared one by the threshold rule, then the other of the two, then any node."""
+        """Own or compared part by the threshold rule, then the other of the two, then any node."""
         home = self.s.position
         other = home
         if self.s.planners > 1:
@@ -440,8 +415,10 @@
     def _stays(self, home: int, other: int) -> bool:
         if other == home:
             return True
-        mine = [n for n in self.nodes.values() if n.part == home and n.entry.status is NodeStatus.READY]
-        theirs = [n for n in self.nodes.values() if n.part == other and n.entry.status is NodeStatus.READY]
+        mine = [n for n in self.nodes.values() if n.part == home and n.entry.status is api.NodeStatus.READY]
+        theirs = [
+            n for n in self.nodes.values() if n.part == other and n.entry.status is api.NodeStatus.READY
+        ]
         if not mine or not theirs:  # an empty part counts as full
             return bool(mine)
         exact, upper = self._load(mine, mine, True), self._load(mine, mine, False)
@@ -454,27 +431,38 @@
             c, m = node.asked(releases)
             cores += c
             memory += m
-        step = max(self.s.mean_cores / sum(n.cores for n in home), self.s.mean_memory / sum(n.memory for n in home))
+        step = max(
+            self.s.mean_cores / sum(n.cores for n in home), self.s.mean_memory / sum(n.memory for n in home)
+        )
         share = max(cores / sum(n.cores for n in part), memory / sum(n.memory for n in part))
         return int(share / step + 0.5)
 
     def _fits(self, job: Open, node: Node) -> bool:
         """Kind, drains, health, room, cold budget and spread."""
         task, sort = job.task, job.sort
-        if node.entry.status is not NodeStatus.READY or node.leaving or self.now < node.rest_until:
+        if node.entry.status is not api.NodeStatus.READY or node.leaving or self.now < node.rest_until:
             return False
         if node.out() >= node.out_most:
             return False
         if sort.node_kind is not None and node.entry.kind != sort.node_kind:
             return False
-        if task.id in self.open and node.entry.id in job.tried or not job.may_go_to(node, self.now, self.s.tick_us):
+        if (
+            task.id in self.open
+            and node.entry.id in job.tried
+            or not job.may_go_to(node, self.now, self.s.tick_us)
+        ):
             return False
         return self._has_room(job, node) and self._cold_allows(node) and self._spread_allows(task, sort, node)
 
     def _has_room(self, job: Open, node: Node) -> bool:
-        """Danger: full nodes draw offers of all planners at each release; a refusal counts for more than belief."""
+        """Danger: all planners race for each release; a refusal counts for more than belief."""
         task, refused = job.task, node.no_room
-        if refused and self.now < refused[2] + NO_ROOM_US and task.cores >= refused[0] and task.memory >= refused[1]:
+        if (
+            refused
+            and self.now < refused[2] + NO_ROOM_US
+            and task.cores >= refused[0]
+            and task.memory >= refused[1]
+        ):
             return False
         cores, memory = node.asked()
         spare = self._reserve(job)
@@ -489,10 +477,10 @@
         return LATE_RESERVE if late else 0.0
 
     def _is_cold(self, node: Node) -> bool:
-        return 0 < node.entry.launched_us and self.now < node.entry.launched_us + self.s.cold_us
+        return node.entry.launched_us > 0 and self.now < node.entry.launched_us + self.s.cold_us
 
     def _cold_allows(self, node: Node) -> bool:
-        """Rule 4. Danger: all planners find a fresh, empty node roomiest; each keeps to its share of the budget."""
+        """Rule 4. Danger: all planners find a fresh node roomiest; each keeps to its share of offers."""
         if not self._is_cold(node):
             return True
         while node.cold_binds and node.cold_binds[0] <= self.now - self.s.fall_us:
@@ -500,12 +488,12 @@
         most = max(1, int(COLD_SHARE_USED * self.s.fresh_offers / self.s.planners))
         return len(node.cold_binds) < most and node.out() < COLD_OUT_MOST
 
-    def _place(self, scope: Scope, node: int, group: int, zone: int) -> int:
-        return {Scope.NODE: node, Scope.GROUP: group, Scope.ZONE: zone}.get(scope, 0)
+    def _place(self, scope: api.Scope, node: int, group: int, zone: int) -> int:
+        return {api.Scope.NODE: node, api.Scope.GROUP: group, api.Scope.ZONE: zone}.get(scope, 0)
 
-    def _spread_allows(self, task: Task, sort: TaskClass, node: Node) -> bool:
+    def _spread_allows(self, task: api.Task, sort: api.TaskClass, node: Node) -> bool:
         """Rule 5: pending, placed and adopted tasks of the service in the place all count."""
-        if sort.spread is Scope.NONE:
+        if sort.spread is api.Scope.NONE:
             return True
         place = self._place(sort.spread, node.entry.id, node.entry.group, node.entry.zone)
         return self.spread[task.service, sort.spread, place] < sort.spread_most
@@ -537,7 +525,7 @@
         job.out = attempt
         job.tried.add(node.entry.id)
         self._count(attempt, node)
-        self.actions.append(Bind(job.task.id, node.entry.id, self._timeout(job)))
+        self.actions.append(api.Bind(job.task.id, node.entry.id, self._timeout(job)))
 
     def _count(self, attempt: Attempt, node: Node | None) -> None:
         self.attempts[attempt.task.id, attempt.shot] = attempt
@@ -547,7 +535,7 @@
 
     def _spread_count(self, attempt: Attempt, by: int) -> None:
         sort = self.s.classes[attempt.task.class_index]
-        if sort.spread is not Scope.NONE:
+        if sort.spread is not api.Scope.NONE:
             place = self._place(sort.spread, attempt.node, attempt.group, attempt.zone)
             key = (attempt.task.service, sort.spread, place)
             self.spread[key] += by
@@ -556,8 +544,8 @@
 
     def _timeout(self, job: Open) -> int:
         """A short time-out pays only where a further attempt may go anywhere; else it loses the task."""
-        again = job.sort.effect is Effect.REPEATABLE or (
-            job.sort.effect is Effect.KEYED and job.sort.dedup_scope is Scope.ALL
+        again = job.sort.effect is api.Effect.REPEATABLE or (
+            job.sort.effect is api.Effect.KEYED and job.sort.dedup_scope is api.Scope.ALL
         )
         left = job.task.expires_us - self.now
         wait = max(TIMEOUT_LEAST_US, int(TIMEOUT_STARTS * self.start_us))
@@ -567,7 +555,7 @@
 
     # What comes back
 
-    def _adopted(self, task: Task, node_id: int) -> None:
+    def _adopted(self, task: api.Task, node_id: int) -> None:
         if (task.id, 0) in self.attempts or not 0 <= task.class_index < len(self.s.classes):
             return
         node = self.nodes.get(node_id)
@@ -575,7 +563,7 @@
         attempt.placed = True
         self._count(attempt, node)  # the list shows it already: no change is pending
 
-    def _placed(self, event: Placed) -> None:
+    def _placed(self, event: api.Placed) -> None:
         attempt = self.attempts.get((event.task, event.attempt))
         if attempt is None:
             return
@@ -588,25 +576,29 @@
         if job is not None:
             self.held.pop(event.task, None)
 
-    def _note(self, event: Note) -> None:
+    def _note(self, event: api.Note) -> None:
         attempt = self.attempts.get((event.task, event.attempt))
         node = self._node_of(attempt) if attempt else None
-        if node is not None and event.kind is NoteKind.RUNNING:
+        if node is not None and event.kind is api.NoteKind.RUNNING:
             node.served()  # an acceptance alone proves nothing: the start may still fail
 
     def _node_of(self, attempt: Attempt) -> Node | None:
         """The node of an attempt, unless it has started anew since."""
         node = self.nodes.get(attempt.node)
-        return node if node is not None and node.entry.launched_us <= max(attempt.launched, attempt.sent) else None
+        return (
+            node
+            if node is not None and node.entry.launched_us <= max(attempt.launched, attempt.sent)
+            else None
+        )
 
-    def _outcome(self, event: Outcome) -> None:
+    def _outcome(self, event: api.Outcome) -> None:
         attempt = self.attempts.pop((event.task, event.attempt), None)
         if attempt is None:
             return
         self._spread_count(attempt, -1)
         self._report(event.node, event.report)
         node = self._node_of(attempt)
-        proved = event.result in PROVES_NOT_RUN
+        proved = event.result in api.PROVES_NOT_RUN
         if node is not None:
             node.remove(attempt, attempt.placed)
             self._release(node, attempt, proved)
@@ -628,7 +620,7 @@
                 self._try_place(job)
 
     def _release(self, node: Node, attempt: Attempt, proved: bool) -> None:
-        """Count a release once: an unseen bind is taken back, a seen one is set off until the list shows it."""
+        """Count a release once: take back an unseen bind, set off a seen one until the list shows it."""
         change = attempt.change
         node.sums = None
         if proved:
@@ -638,25 +630,25 @@
             node.no_room = None
             node.changes.append(Change(self.now, -attempt.task.cores, -attempt.task.memory))
 
-    def _judge(self, node: Node, attempt: Attempt, event: Outcome) -> None:
+    def _judge(self, node: Node, attempt: Attempt, event: api.Outcome) -> None:
         """Health by symptom: errors, silence and lost tasks rest a node, whatever lies behind them."""
         reason = event.reason
-        if event.result is Result.REFUSED:
-            if reason is Reason.QUEUE_FULL:
+        if event.result is api.Result.REFUSED:
+            if reason is api.Reason.QUEUE_FULL:
                 node.rest_until = max(node.rest_until, self.now + FULL_REST_US)
                 node.out_most = max(1.0, OUT_CUT * min(node.out_most, node.out() + 1))
-            elif reason in (Reason.NO_CORES, Reason.NO_MEMORY):
+            elif reason in (api.Reason.NO_CORES, api.Reason.NO_MEMORY):
                 node.no_room = (attempt.task.cores, attempt.task.memory, self.now)
-            elif reason is Reason.UNTOLD:
+            elif reason is api.Reason.UNTOLD:
                 node.failed(self.now, SUSPEND_QUICK_US)
-        elif event.result is Result.ERROR:
+        elif event.result is api.Result.ERROR:
             node.failed(self.now, SUSPEND_QUICK_US)
-        elif event.result in (Result.UNREACHABLE, Result.TIMEOUT):
+        elif event.result in (api.Result.UNREACHABLE, api.Result.TIMEOUT):
             node.failed(self.now, SUSPEND_MOST_US)
-        elif event.result is Result.LOST:
-            if reason is Reason.SENT_AWAY:
+        elif event.result is api.Result.LOST:
+            if reason is api.Reason.SENT_AWAY:
                 node.leaving = True
-            elif reason is Reason.UNTOLD:
+            elif reason is api.Reason.UNTOLD:
                 node.failed(self.now, SUSPEND_MOST_US)
 
     # Answers and waiting
@@ -674,7 +666,7 @@
                 self._hold(job)
 
     def _deadline(self, task_id: int) -> None:
-        """Rule 1. Danger: an attempt is still out, or its time-out comes late; the owner needs an answer anyhow."""
+        """Rule 1. Danger: an attempt is still out, or its time-out comes late; an answer is owed."""
         job = self.open.get(task_id)
         if job is None:
             return
@@ -687,7 +679,7 @@
     def _give_up(self, job: Open) -> None:
         safe = job.out is None and job.may_refuse()
         after = min(REFUSE_AFTER_US, self.s.max_retry_after_us)
-        self.actions.append(Refuse(job.task.id, after) if safe else Fail(job.task.id))
+        self.actions.append(api.Refuse(job.task.id, after) if safe else api.Fail(job.task.id))
         self._close(job.task.id)
 
     def _close(self, task_id: int) -> None:
@@ -695,6 +687,6 @@
         self.held.pop(task_id, None)
 
 
-def event_deadline(job: Open, settings: Settings) -> int:
+def event_deadline(job: Open, settings: api.Settings) -> int:
     """From here on a task without an attempt is answered, not tried again."""
     return job.task.expires_us - GIVE_UP_TICKS * settings.tick_us
--- a/stairplank/interface.py
+++ b/stairplank/interface.py
@@ -160,7 +160,14 @@
         need(all(k.cores > 0 and k.memory > 0 for k in self.kinds), "kinds")
         for name in ("mean_cores", "mean_memory", "cores_limit", "memory_limit", "max_attempts", "tick_us"):
             need(getattr(self, name) > 0, name)
-        for name in ("answer_slack_us", "drain_grace_us", "cold_us", "fall_us", "fresh_offers", "ask_within_us"):
+        for name in (
+            "answer_slack_us",
+            "drain_grace_us",
+            "cold_us",
+            "fall_us",
+            "fresh_offers",
+            "ask_within_us",
+        ):
             need(getattr(self, name) >= 0, name)
         need(all(q >= 0 for q in self.tenant_quota_cores), "tenant_quota_cores")
 
@@ -271,7 +278,16 @@
 
 
 Event = (
-    Started | NodeList | TaskAsked | TaskAdopted | Placed | Outcome | Note | TaskWithdrawn | TimerFired | Probed
+    Started
+    | NodeList
+    | TaskAsked
+    | TaskAdopted
+    | Placed
+    | Outcome
+    | Note
+    | TaskWithdrawn
+    | TimerFired
+    | Probed
 )
 
 
--- a/stairplank/wire.py
+++ b/stairplank/wire.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import struct
-from collections.abc import Iterator
-from typing import BinaryIO
+from collections.abc import Callable, Iterator, Mapping
+from typing import Any, BinaryIO
 
 from . import interface as api
 
@@ -52,18 +52,14 @@
         self.data = data
         self.at = at
 
-    def take(self, fmt: struct.Struct, what: str) -> tuple:
-        end = self.at + fmt.size
-        if end > len(self.data):
-            raise WireError(f"{what} at byte {self.at} runs past the end of the frame ({len(self.data)} bytes)")
-        values = fmt.unpack_from(self.data, self.at)
-        self.at = end
-        return values
+    def take(self, fmt: struct.Struct, what: str) -> tuple[Any, ...]:
+        return fmt.unpack(self.raw(fmt.size, what))
 
     def raw(self, n: int, what: str) -> bytes:
         end = self.at + n
         if end > len(self.data):
-            raise WireError(f"{what} at byte {self.at} runs past the end of the frame ({len(self.data)} bytes)")
+            size = len(self.data)
+            raise WireError(f"{what} at byte {self.at} runs past the end of the frame ({size} bytes)")
         out = self.data[self.at : end]
         self.at = end
         return out
@@ -299,7 +295,7 @@
     def __init__(self, text: str) -> None:
         self.values = dict(line.split("=", 1) for line in text.splitlines() if "=" in line)
 
-    def _read(self, key: str, convert, default):
+    def _read(self, key: str, convert: Callable[[str], Any], default: Any) -> Any:
         raw = self.values.get(key)
         if raw is None or raw == "":
             if default is None:
@@ -322,13 +318,15 @@
     def text(self, key: str, default: str | None = None) -> str:
         return self._read(key, str, default)
 
-    def choice(self, key: str, names: dict, default: str | None = None):
+    def choice(self, key: str, names: Mapping[str, Any], default: str | None = None) -> Any:
         raw = self.text(key, default)
         if raw not in names:
             raise ValueError(f"settings: key {key} has an unreadable value {raw!r}")
         return names[raw]
 
-    def items(self, key: str, convert, size: int | None = None, default=None) -> tuple:
+    def items(
+        self, key: str, convert: Callable[[str], Any], size: int | None = None, default: Any = None
+    ) -> tuple[Any, ...]:
         raw = self.values.get(key, "")
         if raw == "" and default is not None:
             return (default,) * (size or 0)
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -32,7 +32,9 @@
     TaskClass("repeat", Effect.REPEATABLE, Scope.ALL, 0, 600_000, 6 * SECOND),
     TaskClass("keyed", Effect.KEYED, Scope.GROUP, 4 * SECOND, 600_000, 8 * SECOND),
     TaskClass("once", Effect.ONCE, Scope.ALL, 0, 600_000, 8 * SECOND),
-    TaskClass("spread", Effect.REPEATABLE, Scope.ALL, 0, SECOND, 6 * SECOND, spread=Scope.ZONE, spread_most=2),
+    TaskClass(
+        "spread", Effect.REPEATABLE, Scope.ALL, 0, SECOND, 6 * SECOND, spread=Scope.ZONE, spread_most=2
+    ),
     TaskClass("keyed-all", Effect.KEYED, Scope.ALL, 4 * SECOND, 600_000, 8 * SECOND),
 )
 
--- /dev/null
+++ b/tests/test_rules.py
@@ -0,0 +1,280 @@
+"""Each rule's guard, the counting of binds and restarts, on the module alone."""
+
+from helpers import CLASSES, SECOND, SETTINGS, World, bind_of, binds, entry
+
+from stairplank.decide import COLD_OUT_MOST, part_of
+from stairplank.interface import (
+    Bind,
+    Fail,
+    ListKind,
+    NodeList,
+    NodeStatus,
+    Note,
+    NoteKind,
+    Probe,
+    Probed,
+    Reason,
+    Refuse,
+    Result,
+    SetTimer,
+    StopAttempt,
+    TaskAdopted,
+    TaskWithdrawn,
+    TimerFired,
+    Watch,
+)
+
+
+def fire_due(world: World, until: int) -> list:
+    """Fire every timer the planner set, in order, up to ``until``."""
+    out: list = []
+    fired: set[int] = set()
+    while True:
+        due = [a for a in world.done if isinstance(a, SetTimer) and a.token not in fired and a.at_us <= until]
+        if not due:
+            return out
+        timer = min(due, key=lambda a: (a.at_us, a.token))
+        fired.add(timer.token)
+        world.now = max(world.now, timer.at_us)
+        out += world.feed(TimerFired(timer.token))
+
+
+# Rule 1
+
+
+def test_a_held_task_is_refused_before_its_deadline() -> None:
+    world = World(nodes=0)
+    task = world.task(1)
+    assert not binds(world.ask(1))
+    answers = [
+        a for a in fire_due(world, task.expires_us - SETTINGS.tick_us) if isinstance(a, (Refuse, Fail))
+    ]
+    assert len(answers) == 1 and isinstance(answers[0], Refuse)
+
+
+def test_a_timeout_at_the_deadline_still_gets_an_answer() -> None:
+    world = World()
+    bind = bind_of(world.ask(1, sort=2))
+    assert Fail(1) in world.ends(bind, Result.TIMEOUT, after=8 * SECOND)
+
+
+def test_silence_past_the_deadline_is_answered_within_the_slack() -> None:
+    world = World()
+    task = world.task(1, 2)
+    world.ask(1, sort=2)
+    assert Fail(1) in fire_due(world, task.expires_us + SETTINGS.answer_slack_us)
+    assert world.now <= task.expires_us + SETTINGS.answer_slack_us
+
+
+def test_a_withdrawn_task_is_left_alone() -> None:
+    world = World(nodes=0)
+    world.ask(1)
+    world.feed(TaskWithdrawn(1))
+    world.list(entry(0), kind=ListKind.FULL)
+    assert not [a for a in fire_due(world, world.now + 9 * SECOND) if isinstance(a, (Bind, Refuse, Fail))]
+
+
+# Rule 2
+
+
+def test_a_task_that_must_not_run_twice_is_failed_once_it_may_have_run() -> None:
+    world = World()
+    bind = bind_of(world.ask(1, sort=2))
+    assert world.ends(bind, Result.ERROR) == [Fail(1)]
+
+
+def test_it_goes_elsewhere_when_the_attempt_is_proved_not_run() -> None:
+    world = World()
+    bind = bind_of(world.ask(1, sort=2))
+    assert bind_of(world.ends(bind, Result.UNREACHABLE)).node != bind.node
+
+
+def test_a_keyed_task_stays_in_its_group_and_window() -> None:
+    world = World()
+    bind = bind_of(world.ask(1, sort=1))
+    again = bind_of(world.ends(bind, Result.ERROR))
+    assert again.node != bind.node and again.node // 3 == bind.node // 3
+    late = world.ends(again, Result.UNREACHABLE, attempt=1, after=4 * SECOND)
+    assert late == [Fail(1)]
+
+
+def test_attempts_that_may_be_repeated_only_at_one_place_get_no_short_timeout() -> None:
+    world = World()
+    assert bind_of(world.ask(1, sort=1)).timeout_us == 0
+    assert bind_of(world.ask(2, sort=2)).timeout_us == 0
+    for n in range(10, 40):  # once starts are known to be quick, others get one
+        world.placed(bind_of(world.ask(n, cores=0.1, memory=0.1)))
+    assert 0 < bind_of(world.ask(3, sort=0)).timeout_us < CLASSES[0].deadline_us
+
+
+# Rule 3
+
+
+def test_nothing_goes_to_draining_or_missing_nodes() -> None:
+    world = World(nodes=3)
+    world.list(entry(0, status=NodeStatus.DRAINING))
+    world.list(entry(1, status=NodeStatus.GONE))
+    assert {bind_of(world.ask(n)).node for n in range(10, 20)} == {2}
+    world.list(entry(0), kind=ListKind.FULL)  # 2 is absent from a whole list: gone
+    assert {bind_of(world.ask(n)).node for n in range(20, 24)} == {0}
+
+
+def test_a_node_that_sends_tasks_away_counts_as_draining() -> None:
+    world = World(nodes=1)
+    bind = bind_of(world.ask(1))
+    world.placed(bind)
+    world.ends(bind, Result.LOST, closed=True, reason=Reason.SENT_AWAY)
+    assert not binds(world.ask(2))
+
+
+def test_a_failed_watch_is_asked_for_again() -> None:
+    world = World()
+    world.feed(NodeList(ListKind.FAILED))
+    assert Watch() in fire_due(world, world.now + SETTINGS.ask_within_us)
+
+
+# Rule 4
+
+
+def test_a_cold_node_gets_few_binds_whatever_becomes_of_them() -> None:
+    world = World(nodes=0)
+    world.list(entry(0, launched_us=world.now), kind=ListKind.FULL)
+    sent = sum(len(binds(world.ask(n))) for n in range(40))
+    assert sent == COLD_OUT_MOST
+    share = SETTINGS.fresh_offers / SETTINGS.planners
+    offers = [a for a in world.done if isinstance(a, Bind)]
+    for n in range(40, 80):  # answered binds free a place, but the window's budget stands
+        for bind in offers:
+            attempt = sum(1 for a in world.done[: world.done.index(bind)] if a == bind)
+            world.ends(bind, Result.REFUSED, attempt, after=1000, reason=Reason.NOT_HERE)
+        offers = binds(world.ask(n))
+    assert len([a for a in world.done if isinstance(a, Bind)]) <= share
+
+
+# Rule 5
+
+
+def test_spread_counts_pending_placed_and_adopted_tasks() -> None:
+    world = World(nodes=6)
+    world.feed(TaskAdopted(world.task(100, 3), 0))
+    world.feed(TaskAdopted(world.task(101, 3), 3))
+    placed = [bind_of(world.ask(n, sort=3)) for n in range(4)]
+    assert all(b.node % 3 != 0 for b in placed)
+    assert not binds(world.ask(9, sort=3))
+
+
+def test_spread_is_freed_by_the_outcome_alone() -> None:
+    world = World(nodes=1)
+    first, second = bind_of(world.ask(1, sort=3)), bind_of(world.ask(2, sort=3))
+    world.placed(first)
+    world.feed(TaskWithdrawn(2))
+    assert not binds(world.ask(3, sort=3))
+    world.ends(second, Result.CANCELLED, closed=True)
+    assert fire_due(world, world.now + SECOND // 2)
+
+
+# Counting of binds
+
+
+def asked(world: World, node: int) -> float:
+    return world.planner.nodes[node].asked()[0]
+
+
+def test_a_bind_is_counted_once_before_and_after_the_list_shows_it() -> None:
+    world = World(nodes=1)
+    bind = bind_of(world.ask(1))
+    assert asked(world, 0) == 1.0
+    world.placed(bind)
+    assert asked(world, 0) == 1.0
+    world.list(entry(0, free_cores=15.0, free_memory=30.0), after=2 * SECOND)
+    assert asked(world, 0) == 1.0
+    world.ends(bind, Result.FINISHED, closed=True)
+    assert asked(world, 0) == 0.0
+    world.list(entry(0), after=2 * SECOND)
+    assert asked(world, 0) == 0.0
+
+
+def test_a_refused_bind_and_a_restart_leave_nothing_behind() -> None:
+    world = World(nodes=1)
+    world.ends(bind_of(world.ask(1)), Result.REFUSED, reason=Reason.NOT_HERE)
+    assert asked(world, 0) == 0.0
+    world.feed(TaskWithdrawn(1))
+    bind = bind_of(world.ask(2))
+    world.placed(bind)
+    world.list(entry(0, launched_us=world.now + SECOND), after=2 * SECOND)
+    world.ends(bind, Result.LOST, closed=True)
+    assert asked(world, 0) == 0.0
+
+
+def test_a_report_replaces_older_figures() -> None:
+    world = World(nodes=1, report_fields=("free_cores", "free_memory"), may_probe=True)
+    assert Probe(0) in world.ask(1)
+    world.feed(Probed(0, True, 1000, (10.0, 20.0)), after=3 * SECOND)
+    assert asked(world, 0) == 6.0
+
+
+# Health
+
+
+def test_a_node_that_fails_fast_rests() -> None:
+    world = World(nodes=2)
+    bind = bind_of(world.ask(1))
+    other = bind_of(world.ends(bind, Result.ERROR))
+    assert {bind_of(world.ask(n)).node for n in range(2, 8)} == {other.node}
+
+
+def test_acceptance_alone_does_not_heal_where_the_start_comes_later() -> None:
+    world = World(nodes=1, confirms_running=False)
+    world.ends(bind_of(world.ask(1)), Result.ERROR)
+    world.feed(TaskWithdrawn(1))
+    bind = bind_of(world.ask(2, after=2 * SECOND))
+    node = world.planner.nodes[0]
+    world.placed(bind)
+    assert node.streak == 1.0
+    world.feed(Note(2, 0, 0, NoteKind.RUNNING, 0.0))
+    assert node.streak < 1.0
+
+
+def test_a_refusal_for_room_stands_until_later_word() -> None:
+    world = World(nodes=1)
+    world.ends(bind_of(world.ask(1)), Result.REFUSED, reason=Reason.NO_CORES)
+    assert not binds(world.ask(2))
+    assert binds(world.ask(3, cores=0.5))
+    assert binds(world.ask(4, after=2 * SECOND))
+
+
+# The ordinary path
+
+
+def test_a_full_own_part_sends_away_and_an_empty_part_counts_as_full() -> None:
+    world = World(nodes=8)
+    home = [n for n in range(8) if part_of(n, 2) == 0]
+    assert 0 < len(home) < 8
+    world.list(*(entry(n, free_cores=1.0) for n in home), after=2 * SECOND)
+    assert bind_of(world.ask(1)).node not in home
+    world.list(*(entry(n) for n in home), kind=ListKind.FULL)
+    assert bind_of(world.ask(2)).node in home
+
+
+def test_same_seed_same_actions() -> None:
+    def run() -> list:
+        world = World()
+        for n in range(30):
+            world.ask(n, after=1000)
+        return world.done
+
+    assert run() == run()
+
+
+def test_odd_but_legal_events_change_nothing() -> None:
+    world = World(nodes=2)
+    bind = bind_of(world.ask(1))
+    world.placed(bind)
+    before = asked(world, bind.node)
+    assert not world.feed(TimerFired(12345))
+    assert not world.ends(Bind(99, 77), Result.FINISHED)
+    assert not world.placed(bind)
+    world.list(entry(0), entry(1), kind=ListKind.FULL)
+    world.feed(TaskAdopted(world.task(50), 999))
+    assert asked(world, bind.node) == before
+    assert not [a for a in world.done if isinstance(a, StopAttempt)]
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -151,7 +151,9 @@
 
 
 def test_end_of_input_between_frames_is_clean() -> None:
-    run = subprocess.run([sys.executable, "-m", "stairplank.simhost"], input=b"", capture_output=True, timeout=30)
+    run = subprocess.run(
+        [sys.executable, "-m", "stairplank.simhost"], input=b"", capture_output=True, timeout=30
+    )
     assert (run.returncode, run.stdout, run.stderr) == (0, b"", b"")
 
 
