--- a/stairplank/decide.py
+++ b/stairplank/decide.py
@@ -16,6 +16,8 @@
 DRAWN = (
     3  # nodes drawn in a part, the roomiest is taken: two leave too much to chance in parts of three or four
 )
+MEMORY_SHORT = 0.9  # share of a node's memory in use above which it gets nothing new: it soon slows and evicts
+MEMORY_REST_US = 1_200_000  # a little more than the time between two words on it
 START_WEIGHT = (
     0.01  # share of a node that one start waiting there counts as, so that starts spread in time too
 )
@@ -579,6 +581,8 @@
     def _note(self, event: api.Note) -> None:
         attempt = self.attempts.get((event.task, event.attempt))
         node = self._node_of(attempt) if attempt else None
+        if node is not None and event.kind is api.NoteKind.NODE_MEMORY_SHARE and event.level > MEMORY_SHORT:
+            node.rest_until = max(node.rest_until, self.now + MEMORY_REST_US)  # next it would evict
         if node is not None and event.kind is api.NoteKind.RUNNING:
             node.served()  # an acceptance alone proves nothing: the start may still fail
 
