A zone that is silent at two nodes rests as a whole

Also covers a failed switch; may hold back a zone's healthy nodes for 0.7 s at a time when two of its nodes die together.

--- a/stairplank/decide.py
+++ b/stairplank/decide.py
@@ -44,6 +44,7 @@
 START_MEAN = 0.05  # weight of one answer in its running mean
 SUSPEND_US = 700_000  # first rest of a node that failed; doubles with each further failure
 SUSPEND_QUICK_US = 1_000_000  # longest rest after a quick error: a retry costs little, idle nodes cost much
+ZONE_SILENT = 2  # different silent nodes of another zone, none speaking since, that make the way there suspect
 HEALED = 0.34  # of a failure that one good start makes up for: a node that fails every third start stays out
 SUSPEND_MOST_US = 8_000_000  # long enough for a reboot, short enough to find a healed node again
 FULL_REST_US = 150_000  # rest after "too many offers wait": about one queue of looks
@@ -253,6 +254,8 @@
         self.watch_fails = 0
         self.lag = float(LIST_LAG_US)
         self.start_us = float(START_US)  # running mean of the time to an answer, over all nodes
+        self.zone_silent: dict[int, set[int]] = {}  # nodes found silent since their zone was last heard
+        self.zone_tried: dict[int, int] = {}
         self.spread: Counter[tuple[int, api.Scope, int]] = Counter()
         self.actions: list[api.Action] = []
 
@@ -444,7 +447,7 @@
         task, sort = job.task, job.sort
         if node.entry.status is not api.NodeStatus.READY or node.leaving or self.now < node.rest_until:
             return False
-        if node.out() >= node.out_most:
+        if node.out() >= node.out_most or self._zone_rests(node.entry.zone):
             return False
         if sort.node_kind is not None and node.entry.kind != sort.node_kind:
             return False
@@ -456,6 +459,12 @@
             return False
         return self._has_room(job, node) and self._cold_allows(node) and self._spread_allows(task, sort, node)
 
+    def _zone_rests(self, zone: int) -> bool:
+        """Danger: behind a cut link every node costs its own time-out. One task at a time looks whether it heals."""
+        if zone == self.s.zone or len(self.zone_silent.get(zone, ())) < ZONE_SILENT:
+            return False
+        return self.now < self.zone_tried.get(zone, 0) + SUSPEND_US
+
     def _has_room(self, job: Open, node: Node) -> bool:
         """Danger: all planners race for each release; a refusal counts for more than belief."""
         task, refused = job.task, node.no_room
@@ -523,6 +532,7 @@
         node.sums = None
         if self._is_cold(node):
             node.cold_binds.append(self.now)
+        self.zone_tried[node.entry.zone] = self.now
         job.shots += 1
         job.out = attempt
         job.tried.add(node.entry.id)
@@ -570,6 +580,7 @@
         if attempt is None:
             return
         attempt.placed = True
+        self.zone_silent.pop(attempt.zone, None)
         self.start_us += START_MEAN * (event.latency_us - self.start_us)
         node = self._node_of(attempt)
         if node is not None and self.s.confirms_running:
@@ -649,6 +660,7 @@
             node.failed(self.now, SUSPEND_QUICK_US)
         elif event.result in (api.Result.UNREACHABLE, api.Result.TIMEOUT):
             node.failed(self.now, SUSPEND_MOST_US)
+            self.zone_silent.setdefault(node.entry.zone, set()).add(event.node)
         elif event.result is api.Result.LOST:
             if reason is api.Reason.SENT_AWAY:
                 node.leaving = True
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -278,3 +278,25 @@
     world.feed(TaskAdopted(world.task(50), 999))
     assert asked(world, bind.node) == before
     assert not [a for a in world.done if isinstance(a, StopAttempt)]
+
+
+def test_a_zone_silent_at_two_nodes_is_tried_one_task_at_a_time_until_it_speaks() -> None:
+    world = World(nodes=0)
+    world.list(*(entry(n, zone=1) for n in range(8)), kind=ListKind.FULL)
+    first = bind_of(world.ask(1))
+    second = bind_of(world.ends(first, Result.UNREACHABLE, after=1))
+    world.ends(second, Result.UNREACHABLE, attempt=1, after=1)
+    world.feed(TaskWithdrawn(1))
+    trial = bind_of(world.ask(2, after=SECOND))
+    assert not binds(world.ask(3, after=1000))
+    world.placed(trial)
+    assert binds(world.ask(4, after=1000))
+
+
+def test_a_node_whose_memory_runs_short_rests() -> None:
+    world = World(nodes=1)
+    bind = bind_of(world.ask(1))
+    world.placed(bind)
+    world.feed(Note(1, 0, 0, NoteKind.NODE_MEMORY_SHARE, 0.97))
+    assert not binds(world.ask(2))
+    assert binds(world.ask(3, after=2 * SECOND))
