--- a/stairplank/decide.py
+++ b/stairplank/decide.py
@@ -311,6 +311,8 @@
                 del self.nodes[node_id]
         for entry in event.nodes:
             self._entry(entry)
+        if event.kind is api.ListKind.CACHED:
+            self._probe(len(self.nodes))
 
     def _entry(self, entry: api.NodeEntry) -> None:
         if entry.status is api.NodeStatus.GONE or not 0 <= entry.kind < len(self.s.kinds):
@@ -355,14 +357,13 @@
             if "util" in values:
                 node.learn_use(values["util"])
 
-    def _probe_one(self) -> None:
-        """Each task asked buys one probe, of the node least recently heard of."""
+    def _probe(self, most: int) -> None:
+        """Probe the nodes least recently heard of: one for each task asked, all after a start on an old list."""
         if not self.s.may_probe or self.s.price_probe > PROBE_PRICE_MOST:
             return
-        due = [n for n in self.nodes.values() if max(n.as_of, n.probed_at) < self.now - PROBE_GAP_US]
-        due = [n for n in due if n.entry.status is api.NodeStatus.READY]
-        if due:
-            node = min(due, key=lambda n: (max(n.as_of, n.probed_at), n.entry.id))
+        ready = [n for n in self.nodes.values() if n.entry.status is api.NodeStatus.READY]
+        due = [n for n in ready if max(n.as_of, n.probed_at) < self.now - PROBE_GAP_US]
+        for node in sorted(due, key=lambda n: (max(n.as_of, n.probed_at), n.entry.id))[:most]:
             node.probed_at = self.now
             self.actions.append(api.Probe(node.entry.id))
 
@@ -373,7 +374,7 @@
             return
         self.open[task.id] = Open(task, self.s.classes[task.class_index])
         self._timer(task.expires_us - GIVE_UP_TICKS * self.s.tick_us, lambda: self._deadline(task.id))
-        self._probe_one()
+        self._probe(1)
         self._try_place(self.open[task.id])
 
     def _try_place(self, job: Open) -> None:
