--- a/stairplank/decide.py
+++ b/stairplank/decide.py
@@ -16,7 +16,7 @@
 DRAWN = (
     3  # nodes drawn in a part, the roomiest is taken: two leave too much to chance in parts of three or four
 )
-MEMORY_SHORT = 0.9  # share of a node's memory in use above which it gets nothing new: it soon slows and evicts
+MEMORY_SHORT = 0.9  # share of a node's memory in use above which it gets nothing new: it soon evicts
 MEMORY_REST_US = 1_200_000  # a little more than the time between two words on it
 START_WEIGHT = (
     0.01  # share of a node that one start waiting there counts as, so that starts spread in time too
@@ -44,7 +44,7 @@
 START_MEAN = 0.05  # weight of one answer in its running mean
 SUSPEND_US = 700_000  # first rest of a node that failed; doubles with each further failure
 SUSPEND_QUICK_US = 1_000_000  # longest rest after a quick error: a retry costs little, idle nodes cost much
-ZONE_SILENT = 2  # different silent nodes of another zone, none speaking since, that make the way there suspect
+ZONE_SILENT = 2  # different silent nodes of another zone, none heard since, that make the way suspect
 HEALED = 0.34  # of a failure that one good start makes up for: a node that fails every third start stays out
 SUSPEND_MOST_US = 8_000_000  # long enough for a reboot, short enough to find a healed node again
 FULL_REST_US = 150_000  # rest after "too many offers wait": about one queue of looks
@@ -311,8 +311,6 @@
                 del self.nodes[node_id]
         for entry in event.nodes:
             self._entry(entry)
-        if event.kind is api.ListKind.CACHED:
-            self._probe(len(self.nodes))
 
     def _entry(self, entry: api.NodeEntry) -> None:
         if entry.status is api.NodeStatus.GONE or not 0 <= entry.kind < len(self.s.kinds):
@@ -357,13 +355,14 @@
             if "util" in values:
                 node.learn_use(values["util"])
 
-    def _probe(self, most: int) -> None:
-        """Probe the nodes least recently heard of: one for each task asked, all after a start on an old list."""
+    def _probe_one(self) -> None:
+        """Each task asked buys one probe, of the node least recently heard of."""
         if not self.s.may_probe or self.s.price_probe > PROBE_PRICE_MOST:
             return
-        ready = [n for n in self.nodes.values() if n.entry.status is api.NodeStatus.READY]
-        due = [n for n in ready if max(n.as_of, n.probed_at) < self.now - PROBE_GAP_US]
-        for node in sorted(due, key=lambda n: (max(n.as_of, n.probed_at), n.entry.id))[:most]:
+        due = [n for n in self.nodes.values() if max(n.as_of, n.probed_at) < self.now - PROBE_GAP_US]
+        due = [n for n in due if n.entry.status is api.NodeStatus.READY]
+        if due:
+            node = min(due, key=lambda n: (max(n.as_of, n.probed_at), n.entry.id))
             node.probed_at = self.now
             self.actions.append(api.Probe(node.entry.id))
 
@@ -374,7 +373,7 @@
             return
         self.open[task.id] = Open(task, self.s.classes[task.class_index])
         self._timer(task.expires_us - GIVE_UP_TICKS * self.s.tick_us, lambda: self._deadline(task.id))
-        self._probe(1)
+        self._probe_one()
         self._try_place(self.open[task.id])
 
     def _try_place(self, job: Open) -> None:
@@ -461,7 +460,7 @@
         return self._has_room(job, node) and self._cold_allows(node) and self._spread_allows(task, sort, node)
 
     def _zone_rests(self, zone: int) -> bool:
-        """Danger: behind a cut link every node costs its own time-out. One task at a time looks whether it heals."""
+        """Danger: behind a cut link every node costs its own time-outs; one task at a time tries."""
         if zone == self.s.zone or len(self.zone_silent.get(zone, ())) < ZONE_SILENT:
             return False
         return self.now < self.zone_tried.get(zone, 0) + SUSPEND_US
