--- a/stairplank/decide.py
+++ b/stairplank/decide.py
@@ -19,7 +19,7 @@
 MEMORY_SHORT = 0.9  # share of a node's memory in use above which it gets nothing new: it soon evicts
 MEMORY_REST_US = 1_200_000  # a little more than the time between two words on it
 START_WEIGHT = (
-    0.02  # share of a node that one start waiting there counts as, so that starts spread in time too
+    0.01  # share of a node that one start waiting there counts as, so that starts spread in time too
 )
 NEW_PROGRAM = 8.0  # starts that one start from nothing is worth: the program must be fetched first
 WARM_SLACK = 0.2  # a node that knows the program is preferred while at most so much fuller than the roomiest
@@ -40,7 +40,6 @@
 REFUSE_AFTER_US = 200_000  # advice to a refused owner; owners wait a second or more anyhow
 TIMEOUT_STARTS = 5.0  # an attempt that may be repeated is given up after so many usual times to an answer ...
 TIMEOUT_LEAST_US = 1_500_000  # ... but not before a start from nothing can have ended
-ACCEPT_LEAST_US = 500_000  # the same where the answer is only an acceptance: many looks of a node at an offer
 START_US = 1_000_000  # usual time to an answer until answers have come
 START_MEAN = 0.05  # weight of one answer in its running mean
 SUSPEND_US = 700_000  # first rest of a node that failed; doubles with each further failure
@@ -561,8 +560,7 @@
             job.sort.effect is api.Effect.KEYED and job.sort.dedup_scope is api.Scope.ALL
         )
         left = job.task.expires_us - self.now
-        least = TIMEOUT_LEAST_US if self.s.confirms_running else ACCEPT_LEAST_US
-        wait = max(least, int(TIMEOUT_STARTS * self.start_us))
+        wait = max(TIMEOUT_LEAST_US, int(TIMEOUT_STARTS * self.start_us))
         if not again or job.shots >= self.s.max_attempts or wait * 1.3 > left:
             return 0
         return wait
