--- /dev/null
+++ b/tests/test_readme.py
@@ -0,0 +1,15 @@
+"""The README's example runs as it stands."""
+
+import re
+from pathlib import Path
+
+
+def test_the_example_runs(capsys) -> None:  # type: ignore[no-untyped-def]
+    text = (Path(__file__).parent.parent / "README.md").read_text()
+    (example,) = re.findall(r"```python\n(.*?)```", text, re.S)
+    exec(compile(example, "README.md", "exec"), {})
+    printed = capsys.readouterr().out.splitlines()
+    assert printed[0] == "subscribe to the node list"
+    offers = [line for line in printed if line.startswith("offer task 1 to node ")]
+    assert len(offers) == 2 and offers[0] != offers[1]
+    assert not [line for line in printed if line.startswith("answer")]
