--- a/stairplank/decide.py
+++ b/stairplank/decide.py
@@ -19,7 +19,7 @@
 MEMORY_SHORT = 0.9  # share of a node's memory in use above which it gets nothing new: it soon evicts
 MEMORY_REST_US = 1_200_000  # a little more than the time between two words on it
 START_WEIGHT = (
-    0.01  # share of a node that one start waiting there counts as, so that starts spread in time too
+    0.006  # share of a node that one start waiting there counts as, so that starts spread in time too
 )
 NEW_PROGRAM = 8.0  # starts that one start from nothing is worth: the program must be fetched first
 WARM_SLACK = 0.2  # a node that knows the program is preferred while at most so much fuller than the roomiest
