--- a/stairplank/decide.py
+++ b/stairplank/decide.py
@@ -22,7 +22,7 @@
     0.006  # share of a node that one start waiting there counts as, so that starts spread in time too
 )
 NEW_PROGRAM = 8.0  # starts that one start from nothing is worth: the program must be fetched first
-WARM_SLACK = 0.27  # a node that knows the program is preferred while at most so much fuller than the roomiest
+WARM_SLACK = 0.35  # a node that knows the program is preferred while at most so much fuller than the roomiest
 KEPT_PROGRAMS = 4  # programs a node is taken to keep after their last task: the least one may hope for
 LIST_LAG_US = 1_500_000  # how late the list is taken to be until own binds have been seen in it
 REPORT_LAG_US = (
