--- a/stairplank/decide.py
+++ b/stairplank/decide.py
@@ -664,8 +664,6 @@
         elif event.result is api.Result.LOST:
             if reason is api.Reason.SENT_AWAY:
                 node.leaving = True
-            elif reason is api.Reason.EVICTED:
-                node.rest_until = max(node.rest_until, self.now + MEMORY_REST_US)
             elif reason is api.Reason.UNTOLD:
                 node.failed(self.now, SUSPEND_MOST_US)
 
