--- a/stairplank/decide.py
+++ b/stairplank/decide.py
@@ -53,6 +53,7 @@
 NO_ROOM_US = 1_500_000  # so long a refusal for room stands against as large a task, if no later word comes
 LATE_RESERVE = 0.05  # share of a node's room kept from tasks whose start can no longer be in time
 COLD_SHARE_USED = 0.5  # of the surely borne offers of a cold node, so that a late word still leaves room
+COLD_RAMP = 4.0  # and by the end of its warming so many times as many more: it gains pace on the way
 COLD_OUT_MOST = 2  # unanswered binds on a cold node: its pace is a fraction of the usual
 WATCH_RETRY_US = 600_000  # before the list is asked for again after a failed call
 WATCH_RETRY_MOST_US = 3_000_000
@@ -497,7 +498,8 @@
         while node.cold_binds and node.cold_binds[0] <= self.now - self.s.fall_us:
             node.cold_binds.popleft()
         most = max(1, int(COLD_SHARE_USED * self.s.fresh_offers / self.s.planners))
-        return len(node.cold_binds) < most and node.out() < COLD_OUT_MOST
+        age = max(0, self.now - node.entry.launched_us) / self.s.cold_us
+        return len(node.cold_binds) < most and node.out() < COLD_OUT_MOST * (1 + COLD_RAMP * age)
 
     def _place(self, scope: api.Scope, node: int, group: int, zone: int) -> int:
         return {api.Scope.NODE: node, api.Scope.GROUP: group, api.Scope.ZONE: zone}.get(scope, 0)
