--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -151,6 +151,14 @@
     assert len([a for a in world.done if isinstance(a, Bind)]) <= share
 
 
+def test_a_cold_node_bears_more_unanswered_binds_as_it_warms() -> None:
+    world = World(nodes=0, fresh_offers=100.0)
+    world.list(entry(0, launched_us=world.now), kind=ListKind.FULL)
+    early = sum(len(binds(world.ask(n))) for n in range(12))
+    world.now += SETTINGS.cold_us * 3 // 4
+    assert sum(len(binds(world.ask(n, cores=0.1, memory=0.1))) for n in range(20, 40)) > early
+
+
 # Rule 5
 
 
