--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -8,6 +8,7 @@
 
 from stairplank import interface as api
 from stairplank import wire
+from stairplank.simhost import Host
 
 BATCH = bytes.fromhex(
     "56000000 5a5c800000000000 03000000"
@@ -218,3 +219,14 @@
 def test_bad_settings_name_the_key(key: str, value: str | None, says: str) -> None:
     with pytest.raises(ValueError, match=says.replace("(", r"\(")):
         wire.settings_from(text(**{key: value}))
+
+
+def test_a_fault_of_one_planner_becomes_one_line_and_spares_the_others() -> None:
+    def start(i: int, options: str) -> bytes:
+        raw = options.encode()
+        return b"\x01" + i.to_bytes(2, "little") + bytes(8) + len(raw).to_bytes(4, "little") + raw
+
+    out = Host().answer(frame(start(1, text(group_size="0")), start(2, text())))
+    assert out[4:7] == bytes.fromhex("4a 0100")
+    assert b"ValueError: settings: bad planners: 0" in out and b"\n" not in out
+    assert out.endswith(bytes.fromhex("4b 0200 01"))
