Parts shared by several planners, cold nodes served in turns, no pass over all nodes

Cause: one part for each planner left most parts empty, so the rule decided nothing; max(1, share) let all planners together push a cold node over. Parts are now min(planners, nodes // 4); the offers to a cold node are dealt to the planners in turn by arithmetic on slot, number and node.

--- a/stairplank/decide.py
+++ b/stairplank/decide.py
@@ -13,23 +13,20 @@
 
 from . import interface as api
 
-DRAWN = (
-    3  # nodes drawn in a part, the roomiest is taken: two leave too much to chance in parts of three or four
-)
+PART_LEAST = 4  # nodes a part should have: fewer leave nothing to draw from, more leave few parts to compare
+DRAWN = 3  # nodes drawn in a part, the roomiest is taken: two leave too much to chance in small parts
+SAMPLED = 16  # nodes looked at when neither part has room: enough to find what is left
 MEMORY_SHORT = 0.9  # share of a node's memory in use above which it gets nothing new: it soon evicts
 MEMORY_REST_US = 1_200_000  # a little more than the time between two words on it
-START_WEIGHT = (
-    0.006  # share of a node that one start waiting there counts as, so that starts spread in time too
-)
+START_WEIGHT = 0.006  # share of a node that one start waiting there counts as, so that starts spread in time
 NEW_PROGRAM = 8.0  # starts that one start from nothing is worth: the program must be fetched first
 WARM_SLACK = 0.35  # a node that knows the program is preferred while at most so much fuller than the roomiest
 KEPT_PROGRAMS = 4  # programs a node is taken to keep after their last task: the least one may hope for
 LIST_LAG_US = 1_500_000  # how late the list is taken to be until own binds have been seen in it
-REPORT_LAG_US = (
-    700_000  # age of a report on arrival: half a refresh and the way; too high only counts binds longer
-)
+REPORT_LAG_US = 700_000  # age of a report on arrival: half a refresh and the way
 USE_SHARE_LEAST = 0.2  # below this asked share, use over asked is mostly noise
 USE_WEIGHT = 0.5  # of one report in a node's running mean of use: tasks change within seconds
+USE_MEAN = 0.02  # of one report in the running mean over all nodes
 PROBE_GAP_US = 300_000  # a node's report is not refreshed faster than this, so neither is it asked for
 PROBE_PRICE_MOST = 0.01  # points for one probe a task up to which a probe rides with every task
 LAG_WEIGHT = 0.1  # of one sighting in the running mean of the list's lag: a dozen sightings settle it
@@ -52,12 +49,13 @@
 OUT_CUT, OUT_GROW = 0.7, 0.05  # at each "too many wait", at each placing: slowly up again
 NO_ROOM_US = 1_500_000  # so long a refusal for room stands against as large a task, if no later word comes
 LATE_RESERVE = 0.05  # share of a node's room kept from tasks whose start can no longer be in time
-COLD_SHARE_USED = 0.5  # of the surely borne offers of a cold node, so that a late word still leaves room
+COLD_SHARE_USED = 0.8  # of the surely borne offers of a cold node: jitter may push some into the next window
 COLD_RAMP = 4.0  # and by the end of its warming so many times as many more: it gains pace on the way
 COLD_OUT_MOST = 2  # unanswered binds on a cold node: its pace is a fraction of the usual
 WATCH_RETRY_US = 600_000  # before the list is asked for again after a failed call
 WATCH_RETRY_MOST_US = 3_000_000
 HASH_1, HASH_2 = 0xBF58476D1CE4E5B9, 0x94D049BB133111EB  # of splitmix64: well mixed, the same everywhere
+MASK = 0xFFFFFFFFFFFFFFFF
 NEAR = 1e-4  # two amounts of cores or memory closer than this are the same
 
 
@@ -70,12 +68,31 @@
     return other_upper >= exact + 1 if at_upper else other_upper >= exact
 
 
-def part_of(node: int, planners: int) -> int:
-    """The planner that owns a node: the same at every planner, whatever each knows."""
-    x = (node + 0x9E3779B97F4A7C15) & 0xFFFFFFFFFFFFFFFF
-    x = ((x ^ (x >> 30)) * HASH_1) & 0xFFFFFFFFFFFFFFFF
-    x = ((x ^ (x >> 27)) * HASH_2) & 0xFFFFFFFFFFFFFFFF
-    return (x ^ (x >> 31)) % planners
+def mixed(x: int) -> int:
+    """A well spread 64-bit number, the same at every planner."""
+    x = (x + 0x9E3779B97F4A7C15) & MASK
+    x = ((x ^ (x >> 30)) * HASH_1) & MASK
+    x = ((x ^ (x >> 27)) * HASH_2) & MASK
+    return x ^ (x >> 31)
+
+
+def parts_for(nodes: int, planners: int) -> int:
+    """Into how many parts the nodes are cut. Danger: one for each planner leaves most of them empty."""
+    return max(1, min(planners, nodes // PART_LEAST))
+
+
+def part_of(node: int, parts: int) -> int:
+    """The part a node belongs to: the same at every planner that lists as many nodes."""
+    return mixed(node) % parts
+
+
+def cold_turn(slot: int, place: int, planners: int, budget: int) -> int:
+    """How many of the ``budget`` offers in a time slot fall to one planner: they are dealt in turn.
+
+    All planners together get exactly the budget, one planner all of it, and of many each now and then one.
+    """
+    spare = planners - 1 - place
+    return ((slot + 1) * budget + spare) // planners - (slot * budget + spare) // planners
 
 
 class Change:
@@ -109,7 +126,7 @@
         self.entry = entry
         kind = settings.kinds[entry.kind]
         self.cores, self.memory = kind.cores, kind.memory
-        self.part = part_of(entry.id, settings.planners)
+        self.mix = mixed(entry.id)
         self.free = (entry.free_cores, entry.free_memory)  # the freshest figures, from the list or a report
         self.as_of = 0  # when they were true, as far as can be told
         self.probed_at = 0
@@ -119,7 +136,7 @@
         self.attempts: dict[tuple[int, int], Attempt] = {}
         self.services: Counter[int] = Counter()
         self.kept: deque[int] = deque(maxlen=KEPT_PROGRAMS)
-        self.cold_binds: deque[int] = deque()
+        self.cold_slot, self.cold_used = -1, 0
         self.streak = 0.0
         self.rest_until = 0
         self.out_most = OUT_START
@@ -143,12 +160,13 @@
             self.no_room = None
         self.changes = [c for c in self.changes if c.at > as_of]
 
-    def learn_use(self, busy: float) -> None:
+    def learn_use(self, busy: float) -> float | None:
         """How much of the cores that are asked for is in use there."""
         share = (self.cores - self.free[0]) / self.cores
         if share > USE_SHARE_LEAST:
             seen = busy / share
             self.use = seen if self.use is None else self.use + USE_WEIGHT * (seen - self.use)
+        return self.use
 
     def share_with(self, task: api.Task, use: float) -> float:
         """The larger asked share with the task on it; cores used more than usual count for more."""
@@ -188,7 +206,7 @@
         self.services.clear()
         self.kept.clear()
         self.use = None
-        self.cold_binds.clear()
+        self.cold_slot, self.cold_used = -1, 0
         self.streak, self.rest_until = 0.0, 0
         self.leaving = False
 
@@ -245,7 +263,10 @@
         self.s = settings
         self.rng = random.Random(seed)
         self.now = 0
+        self.born = -1
         self.nodes: dict[int, Node] = {}
+        self.ready: list[Node] = []  # those listed as ready, in the order of the list
+        self.parts: list[list[Node]] | None = None  # the same, cut into parts; None: to be cut anew
         self.open: dict[int, Open] = {}
         self.held: dict[int, None] = {}
         self.attempts: dict[tuple[int, int], Attempt] = {}
@@ -254,6 +275,7 @@
         self.polling = False
         self.watch_fails = 0
         self.lag = float(LIST_LAG_US)
+        self.use: float | None = None  # running mean of use over asked, over all nodes
         self.start_us = float(START_US)  # running mean of the time to an answer, over all nodes
         self.zone_silent: dict[int, set[int]] = {}  # nodes found silent since their zone was last heard
         self.zone_tried: dict[int, int] = {}
@@ -265,6 +287,7 @@
         self.actions = []
         match event:
             case api.Started():
+                self.born = now
                 self._watch()
             case api.NodeList():
                 self._list(event)
@@ -310,18 +333,23 @@
             listed = {entry.id for entry in event.nodes}
             for node_id in [n for n in self.nodes if n not in listed]:
                 del self.nodes[node_id]
+                self.parts = None
         for entry in event.nodes:
             self._entry(entry)
 
     def _entry(self, entry: api.NodeEntry) -> None:
         if entry.status is api.NodeStatus.GONE or not 0 <= entry.kind < len(self.s.kinds):
-            self.nodes.pop(entry.id, None)
+            if self.nodes.pop(entry.id, None):
+                self.parts = None
             return
         node = self.nodes.get(entry.id)
         if node is None:
             self.nodes[entry.id] = Node(entry, self.s)
+            self.parts = None
             return
         old, node.entry = node.entry, entry
+        if old.status is not entry.status:
+            self.parts = None
         if entry.launched_us > old.launched_us:
             node.restart()
             node.learn((entry.free_cores, entry.free_memory), self.now)
@@ -334,7 +362,7 @@
         if abs(cores) < NEAR and abs(memory) < NEAR:
             return
         as_of = self.now - int(self.lag)
-        for change in node.changes:
+        for change in node.changes:  # mostly none: a planner has few own binds under way at a node
             cores -= change.cores
             memory -= change.memory
             if abs(cores) < NEAR and abs(memory) < NEAR:
@@ -353,17 +381,17 @@
         as_of = self.now - REPORT_LAG_US
         if as_of > node.as_of:
             node.learn((values["free_cores"], values["free_memory"]), as_of)
-            if "util" in values:
-                node.learn_use(values["util"])
+            use = node.learn_use(values["util"]) if "util" in values else None
+            if use is not None:
+                self.use = use if self.use is None else self.use + USE_MEAN * (use - self.use)
 
     def _probe_one(self) -> None:
-        """Each task asked buys one probe, of the node least recently heard of."""
+        """Each task asked buys one probe, of the home part's node least recently heard of."""
         if not self.s.may_probe or self.s.price_probe > PROBE_PRICE_MOST:
             return
-        due = [n for n in self.nodes.values() if max(n.as_of, n.probed_at) < self.now - PROBE_GAP_US]
-        due = [n for n in due if n.entry.status is api.NodeStatus.READY]
-        if due:
-            node = min(due, key=lambda n: (max(n.as_of, n.probed_at), n.entry.id))
+        home = self._parts()[0]
+        node = min(home, key=lambda n: (max(n.as_of, n.probed_at), n.entry.id), default=None)
+        if node is not None and max(node.as_of, node.probed_at) < self.now - PROBE_GAP_US:
             node.probed_at = self.now
             self.actions.append(api.Probe(node.entry.id))
 
@@ -404,31 +432,42 @@
             and self.now + 2 * self.s.tick_us < first.sent + job.sort.window_us
         )
 
+    def _cut(self) -> list[list[Node]]:
+        """The ready nodes by part. Cut anew when a node comes, goes or drains; beliefs stay."""
+        if self.parts is None:
+            self.ready = [n for n in self.nodes.values() if n.entry.status is api.NodeStatus.READY]
+            count = parts_for(len(self.ready), self.s.planners)
+            self.parts = [[] for _ in range(count)]
+            for node in self.ready:
+                self.parts[node.mix % count].append(node)
+        return self.parts
+
+    def _parts(self) -> tuple[list[Node], list[Node]]:
+        """The home part, shared with the planners of the same number modulo parts, and a random other."""
+        parts = self._cut()
+        home = other = self.s.position % len(parts)
+        if len(parts) > 1:
+            other = (home + 1 + self.rng.randrange(len(parts) - 1)) % len(parts)
+        return parts[home], parts[other]
+
     def _choose(self, job: Open) -> Node | None:
         """Own or compared part by the threshold rule, then the other of the two, then any node."""
-        home = self.s.position
-        other = home
-        if self.s.planners > 1:
-            other = (home + 1 + self.rng.randrange(self.s.planners - 1)) % self.s.planners
-        first, second = (home, other) if self._stays(home, other) else (other, home)
-        fitting = [n for n in self.nodes.values() if self._fits(job, n)]
-        for part in (first, second):
-            node = self._draw(job, [n for n in fitting if n.part == part])
+        home, other = self._parts()
+        chosen = (home, other) if self._stays(home, other) else (other, home)
+        for part in chosen:
+            node = self._draw(job, [n for n in part if self._fits(job, n)])
             if node is not None:
                 return node
-        return self._draw(job, fitting)
+        some = self.rng.sample(self.ready, min(SAMPLED, len(self.ready)))
+        return self._draw(job, [n for n in some if self._fits(job, n)])
 
-    def _stays(self, home: int, other: int) -> bool:
-        if other == home:
+    def _stays(self, home: list[Node], other: list[Node]) -> bool:
+        if other is home:
             return True
-        mine = [n for n in self.nodes.values() if n.part == home and n.entry.status is api.NodeStatus.READY]
-        theirs = [
-            n for n in self.nodes.values() if n.part == other and n.entry.status is api.NodeStatus.READY
-        ]
-        if not mine or not theirs:  # an empty part counts as full
-            return bool(mine)
-        exact, upper = self._load(mine, mine, True), self._load(mine, mine, False)
-        return keeps_home(exact, exact >= upper, self._load(theirs, mine, False))
+        if not home or not other:  # an empty part counts as full
+            return bool(home)
+        exact, upper = self._load(home, home, True), self._load(home, home, False)
+        return keeps_home(exact, exact >= upper, self._load(other, home, False))
 
     def _load(self, part: list[Node], home: list[Node], releases: bool) -> int:
         """Load of a part: the larger asked share, in steps of one mean task over the own part's size."""
@@ -492,14 +531,18 @@
         return node.entry.launched_us > 0 and self.now < node.entry.launched_us + self.s.cold_us
 
     def _cold_allows(self, node: Node) -> bool:
-        """Rule 4. Danger: all planners find a fresh node roomiest; each keeps to its share of offers."""
+        """Rule 4. Danger: all planners find a fresh node roomiest; they take turns, slot by slot."""
         if not self._is_cold(node):
             return True
-        while node.cold_binds and node.cold_binds[0] <= self.now - self.s.fall_us:
-            node.cold_binds.popleft()
-        most = max(1, int(COLD_SHARE_USED * self.s.fresh_offers / self.s.planners))
-        age = max(0, self.now - node.entry.launched_us) / self.s.cold_us
-        return len(node.cold_binds) < most and node.out() < COLD_OUT_MOST * (1 + COLD_RAMP * age)
+        since, width = max(0, self.now - node.entry.launched_us), max(1, self.s.fall_us)
+        slot = since // width
+        if node.entry.launched_us + slot * width <= self.born:
+            return False  # what an earlier life of this planner sent in the slot is not known
+        if node.cold_slot != slot:
+            node.cold_slot, node.cold_used = slot, 0
+        budget = int(COLD_SHARE_USED * self.s.fresh_offers / 2)  # a window may lie across two slots
+        turn = cold_turn(slot, (self.s.position + node.mix) % self.s.planners, self.s.planners, budget)
+        return node.cold_used < turn and node.out() < COLD_OUT_MOST * (1 + COLD_RAMP * since / self.s.cold_us)
 
     def _place(self, scope: api.Scope, node: int, group: int, zone: int) -> int:
         return {api.Scope.NODE: node, api.Scope.GROUP: group, api.Scope.ZONE: zone}.get(scope, 0)
@@ -515,8 +558,7 @@
         """The roomiest of a few drawn nodes; those that know the program are drawn from first."""
         if not fitting:
             return None
-        seen = [n.use for n in self.nodes.values() if n.use is not None]
-        use = max(sum(seen) / len(seen), NEAR) if seen else 1.0
+        use = max(self.use or 1.0, NEAR)
         room = {n.entry.id: n.share_with(job.task, use) + START_WEIGHT * n.backlog() for n in fitting}
         least = min(room.values())
         warm = [
@@ -533,7 +575,7 @@
         node.changes.append(attempt.change)
         node.sums = None
         if self._is_cold(node):
-            node.cold_binds.append(self.now)
+            node.cold_used += 1
         self.zone_tried[node.entry.zone] = self.now
         job.shots += 1
         job.out = attempt
