--- a/stairplank/decide.py
+++ b/stairplank/decide.py
@@ -13,7 +13,9 @@
 
 from . import interface as api
 
-PART_LEAST = 4  # nodes a part should have: fewer leave nothing to draw from, more leave few parts to compare
+PART_LEAST = 3  # nodes a part should have: fewer leave nothing to draw from
+FETCH_SHARE = 0.2  # of a part, what a start from nothing weighs in the comparison of two parts
+RANK_WEIGHT = 0.1  # share of a node by which an earlier drawn one may be fuller
 DRAWN = 3  # nodes drawn in a part, the roomiest is taken: two leave too much to chance in small parts
 SAMPLED = 16  # nodes looked at when neither part has room: enough to find what is left
 MEMORY_SHORT = 0.9  # share of a node's memory in use above which it gets nothing new: it soon evicts
@@ -389,7 +391,8 @@
         """Each task asked buys one probe, of the home part's node least recently heard of."""
         if not self.s.may_probe or self.s.price_probe > PROBE_PRICE_MOST:
             return
-        home = self._parts()[0]
+        parts = self._cut()
+        home = parts[self.s.position % len(parts)]
         node = min(home, key=lambda n: (max(n.as_of, n.probed_at), n.entry.id), default=None)
         if node is not None and max(node.as_of, node.probed_at) < self.now - PROBE_GAP_US:
             node.probed_at = self.now
@@ -442,45 +445,46 @@
                 self.parts[node.mix % count].append(node)
         return self.parts
 
-    def _parts(self) -> tuple[list[Node], list[Node]]:
-        """The home part, shared with the planners of the same number modulo parts, and a random other."""
-        parts = self._cut()
-        home = other = self.s.position % len(parts)
-        if len(parts) > 1:
-            other = (home + 1 + self.rng.randrange(len(parts) - 1)) % len(parts)
-        return parts[home], parts[other]
-
     def _choose(self, job: Open) -> Node | None:
         """Own or compared part by the threshold rule, then the other of the two, then any node."""
-        home, other = self._parts()
-        chosen = (home, other) if self._stays(home, other) else (other, home)
-        for part in chosen:
-            node = self._draw(job, [n for n in part if self._fits(job, n)])
+        parts = self._cut()
+        home = self.s.position % len(parts)
+        known = other = mixed(job.task.service) % len(parts)
+        if other == home and len(parts) > 1:
+            other = (home + 1 + self.rng.randrange(len(parts) - 1)) % len(parts)
+        stays = self._stays(parts[home], parts[other], known == home)
+        for part in (home, other) if stays else (other, home):
+            node = self._draw(job, [n for n in parts[part] if self._fits(job, n)])
             if node is not None:
                 return node
         some = self.rng.sample(self.ready, min(SAMPLED, len(self.ready)))
         return self._draw(job, [n for n in some if self._fits(job, n)])
 
-    def _stays(self, home: list[Node], other: list[Node]) -> bool:
+    def _stays(self, home: list[Node], other: list[Node], known_at_home: bool) -> bool:
         if other is home:
             return True
         if not home or not other:  # an empty part counts as full
             return bool(home)
-        exact, upper = self._load(home, home, True), self._load(home, home, False)
-        return keeps_home(exact, exact >= upper, self._load(other, home, False))
+        step = max(
+            self.s.mean_cores / sum(n.cores for n in home), self.s.mean_memory / sum(n.memory for n in home)
+        )
+        fetch = int(FETCH_SHARE / step)
+        exact, upper = self._load(home, True) / step, self._load(home, False) / step
+        believed = self._load(other, False) / step
+        if known_at_home:
+            believed += fetch
+        else:
+            exact, upper = exact + fetch, upper + fetch
+        return keeps_home(round(exact), round(exact) >= round(upper), round(believed))
 
-    def _load(self, part: list[Node], home: list[Node], releases: bool) -> int:
-        """Load of a part: the larger asked share, in steps of one mean task over the own part's size."""
+    def _load(self, part: list[Node], releases: bool) -> float:
+        """Load of a part: the larger asked share."""
         cores = memory = 0.0
         for node in part:
             c, m = node.asked(releases)
             cores += c
             memory += m
-        step = max(
-            self.s.mean_cores / sum(n.cores for n in home), self.s.mean_memory / sum(n.memory for n in home)
-        )
-        share = max(cores / sum(n.cores for n in part), memory / sum(n.memory for n in part))
-        return int(share / step + 0.5)
+        return max(cores / sum(n.cores for n in part), memory / sum(n.memory for n in part))
 
     def _fits(self, job: Open, node: Node) -> bool:
         """Kind, drains, health, room, cold budget and spread."""
@@ -555,18 +559,21 @@
         return self.spread[task.service, sort.spread, place] < sort.spread_most
 
     def _draw(self, job: Open, fitting: list[Node]) -> Node | None:
-        """The roomiest of a few drawn nodes; those that know the program are drawn from first."""
+        """The roomiest of a few nodes. Which ones is drawn by the service, the same way at every planner.
+
+        Danger: a planner sees few tasks of a service, so it cannot know where its program has been fetched;
+        drawn by chance, nearly every start would be one from nothing.
+        """
         if not fitting:
             return None
-        use = max(self.use or 1.0, NEAR)
-        room = {n.entry.id: n.share_with(job.task, use) + START_WEIGHT * n.backlog() for n in fitting}
+        task, use = job.task, max(self.use or 1.0, NEAR)
+        room = {n.entry.id: n.share_with(task, use) + START_WEIGHT * n.backlog() for n in fitting}
         least = min(room.values())
-        warm = [
-            n for n in fitting if n.is_warm_for(job.task.service) and room[n.entry.id] <= least + WARM_SLACK
-        ]
-        pool = warm or fitting
-        drawn = self.rng.sample(pool, min(DRAWN, len(pool)))
-        return min(drawn, key=lambda n: room[n.entry.id])
+        near = [n for n in fitting if room[n.entry.id] <= least + WARM_SLACK]
+        pool = [n for n in near if n.is_warm_for(task.service)] or near
+        drawn = sorted(pool, key=lambda n: mixed(task.service ^ n.mix))[:DRAWN]
+        ranked = [(room[n.entry.id] + RANK_WEIGHT * i, i, n) for i, n in enumerate(drawn)]
+        return min(ranked)[2]
 
     def _bind(self, job: Open, node: Node) -> None:
         attempt = Attempt(job.task, job.shots, node, node.entry.id, self.now)
