--- a/stairplank/decide.py
+++ b/stairplank/decide.py
@@ -13,16 +13,14 @@
 
 from . import interface as api
 
-PART_LEAST = 3  # nodes a part should have: fewer leave nothing to draw from
-FETCH_SHARE = 0.2  # of a part, what a start from nothing weighs in the comparison of two parts
-RANK_WEIGHT = 0.1  # share of a node by which an earlier drawn one may be fuller
+PART_LEAST = 4  # nodes a part should have: fewer leave nothing to draw from
+FETCH_SLACK = 0.16  # of what a node accepts: so much fuller may it be if that saves fetching the program
 DRAWN = 3  # nodes drawn in a part, the roomiest is taken: two leave too much to chance in small parts
 SAMPLED = 16  # nodes looked at when neither part has room: enough to find what is left
 MEMORY_SHORT = 0.9  # share of a node's memory in use above which it gets nothing new: it soon evicts
 MEMORY_REST_US = 1_200_000  # a little more than the time between two words on it
 START_WEIGHT = 0.006  # share of a node that one start waiting there counts as, so that starts spread in time
 NEW_PROGRAM = 8.0  # starts that one start from nothing is worth: the program must be fetched first
-WARM_SLACK = 0.35  # a node that knows the program is preferred while at most so much fuller than the roomiest
 KEPT_PROGRAMS = 4  # programs a node is taken to keep after their last task: the least one may hope for
 LIST_LAG_US = 1_500_000  # how late the list is taken to be until own binds have been seen in it
 REPORT_LAG_US = 700_000  # age of a report on arrival: half a refresh and the way
@@ -277,6 +275,7 @@
         self.polling = False
         self.watch_fails = 0
         self.lag = float(LIST_LAG_US)
+        self.slack = FETCH_SLACK * settings.cores_limit
         self.use: float | None = None  # running mean of use over asked, over all nodes
         self.start_us = float(START_US)  # running mean of the time to an answer, over all nodes
         self.zone_silent: dict[int, set[int]] = {}  # nodes found silent since their zone was last heard
@@ -468,7 +467,7 @@
         step = max(
             self.s.mean_cores / sum(n.cores for n in home), self.s.mean_memory / sum(n.memory for n in home)
         )
-        fetch = int(FETCH_SHARE / step)
+        fetch = int(self.slack / step)
         exact, upper = self._load(home, True) / step, self._load(home, False) / step
         believed = self._load(other, False) / step
         if known_at_home:
@@ -569,10 +568,10 @@
         task, use = job.task, max(self.use or 1.0, NEAR)
         room = {n.entry.id: n.share_with(task, use) + START_WEIGHT * n.backlog() for n in fitting}
         least = min(room.values())
-        near = [n for n in fitting if room[n.entry.id] <= least + WARM_SLACK]
+        near = [n for n in fitting if room[n.entry.id] <= least + self.slack]
         pool = [n for n in near if n.is_warm_for(task.service)] or near
         drawn = sorted(pool, key=lambda n: mixed(task.service ^ n.mix))[:DRAWN]
-        ranked = [(room[n.entry.id] + RANK_WEIGHT * i, i, n) for i, n in enumerate(drawn)]
+        ranked = [(room[n.entry.id] + self.slack * i, i, n) for i, n in enumerate(drawn)]
         return min(ranked)[2]
 
     def _bind(self, job: Open, node: Node) -> None:
