Silent nodes judged by probes; a class turned away rests at that node alone; later attempts after refusals wait

Causes: offers to dead nodes (502) after short rests, 640 ms refusals without a told reason from throttling nodes that rested the whole node for a second, four attempts burnt within 100 ms at full nodes, 1.5 s time-outs on acceptances.

--- a/stairplank/decide.py
+++ b/stairplank/decide.py
@@ -36,10 +36,12 @@
 GIVE_UP_TICKS = 3  # ticks before the deadline at which a held task is answered: two to act, one to spare
 REFUSE_AFTER_US = 200_000  # advice to a refused owner; owners wait a second or more anyhow
 TIMEOUT_STARTS = 5.0  # an attempt that may be repeated is given up after so many usual times to an answer ...
-TIMEOUT_LEAST_US = 1_500_000  # ... but not before a start from nothing can have ended
+TIMEOUT_LEAST_US = 1_500_000  # ... but not before a start from nothing can have ended,
+ACCEPT_LEAST_US = 400_000  # or, where acceptance is the answer, a queue of looks
 START_US = 1_000_000  # usual time to an answer until answers have come
 START_MEAN = 0.05  # weight of one answer in its running mean
 SUSPEND_US = 700_000  # first rest of a node that failed; doubles with each further failure
+SILENT_REST_US = 2_000_000  # the same of one that was silent: it is probed then and at the end of each rest
 SUSPEND_QUICK_US = 1_000_000  # longest rest after a quick error: a retry costs little, idle nodes cost much
 ZONE_SILENT = 2  # different silent nodes of another zone, none heard since, that make the way suspect
 HEALED = 0.34  # of a failure that one good start makes up for: a node that fails every third start stays out
@@ -47,6 +49,9 @@
 FULL_REST_US = 150_000  # rest after "too many offers wait": about one queue of looks
 OUT_START = 24.0  # unanswered binds a node may have until its own limit is learned
 OUT_CUT, OUT_GROW = 0.7, 0.05  # at each "too many wait", at each placing: slowly up again
+SHUT_US = 8_000_000  # first rest of one class at a node that turns it away for no told reason; doubles
+SHUT_MOST_US = 32_000_000
+AGAIN_US = 250_000  # wait before the third attempt after refusals, doubling: in a race for room haste loses
 NO_ROOM_US = 1_500_000  # so long a refusal for room stands against as large a task, if no later word comes
 LATE_RESERVE = 0.05  # share of a node's room kept from tasks whose start can no longer be in time
 COLD_SHARE_USED = 0.8  # of the surely borne offers of a cold node: jitter may push some into the next window
@@ -139,6 +144,8 @@
         self.cold_slot, self.cold_used = -1, 0
         self.streak = 0.0
         self.rest_until = 0
+        self.silent = False  # gave no answer, and has not been heard since
+        self.shut: dict[tuple[int, int], tuple[int, int]] = {}  # class and tenant turned away: until, span
         self.out_most = OUT_START
         self.no_room: tuple[float, float, int] | None = None  # cores and memory refused, and when
         self.leaving = False  # a task was sent away from it: it drains, whatever the list says
@@ -207,33 +214,41 @@
         self.kept.clear()
         self.use = None
         self.cold_slot, self.cold_used = -1, 0
-        self.streak, self.rest_until = 0.0, 0
+        self.streak, self.rest_until, self.silent = 0.0, 0, False
+        self.shut.clear()
         self.leaving = False
 
-    def failed(self, now: int, most: int) -> None:
+    def failed(self, now: int, first: int, most: int) -> None:
         """Rest it, longer each time. Danger: a node that fails fast looks roomy and draws tasks."""
         if now >= self.rest_until or self.streak == 0:
             self.streak += 1
-        rest = int(SUSPEND_US * 2 ** min(self.streak - 1, 8))
+        rest = int(first * 2 ** min(self.streak - 1, 8))
         self.rest_until = max(self.rest_until, now + min(rest, most))
 
+    def turned_away(self, task: api.Task, now: int) -> None:
+        """Danger: a node may turn away one class or tenant alone, slowly; the others' use of it stands."""
+        key = (task.class_index, task.tenant)
+        until, span = self.shut.get(key, (0, SHUT_US // 2))
+        span = span if now < until else min(2 * span, SHUT_MOST_US)
+        self.shut[key] = (now + span, span)
+
     def served(self) -> None:
-        self.streak = max(0.0, self.streak - HEALED)
+        self.streak, self.silent = max(0.0, self.streak - HEALED), False
         self.out_most = min(OUT_START, self.out_most + OUT_GROW)
 
 
 class Open:
     """A task that is owed an answer."""
 
-    __slots__ = ("task", "sort", "shots", "out", "tried", "risk_sent", "risk_node")
+    __slots__ = ("task", "sort", "shots", "out", "tried", "wait_until", "risk_node")
 
     def __init__(self, task: api.Task, sort: api.TaskClass) -> None:
         self.task, self.sort = task, sort
         self.shots = 0
         self.out: Attempt | None = None
         self.tried: set[int] = set()
-        self.risk_sent: int | None = None  # send of the first attempt that may have run
-        self.risk_node: Attempt | None = None
+        self.wait_until = 0
+        self.risk_node: Attempt | None = None  # the first attempt that may have run
 
     def may_go_to(self, node: Node, now: int, tick: int) -> bool:
         """Rule 2: where a further attempt may go once an earlier one may have run."""
@@ -277,7 +292,7 @@
         self.lag = float(LIST_LAG_US)
         self.slack = FETCH_SLACK * settings.cores_limit
         self.use: float | None = None  # running mean of use over asked, over all nodes
-        self.start_us = float(START_US)  # running mean of the time to an answer, over all nodes
+        self.start_us = float(START_US if settings.confirms_running else START_US // 10)  # running mean
         self.zone_silent: dict[int, set[int]] = {}  # nodes found silent since their zone was last heard
         self.zone_tried: dict[int, int] = {}
         self.spread: Counter[tuple[int, api.Scope, int]] = Counter()
@@ -304,8 +319,8 @@
                 self._close(task_id)
             case api.TimerFired(token):
                 self.timers.pop(token, lambda: None)()
-            case api.Probed(node_id, _, _, report):
-                self._report(node_id, report)
+            case api.Probed():
+                self._probed(event)
             case api.Note():
                 self._note(event)
         return self.actions
@@ -386,6 +401,31 @@
             if use is not None:
                 self.use = use if self.use is None else self.use + USE_MEAN * (use - self.use)
 
+    def _probed(self, event: api.Probed) -> None:
+        """A silent node is judged by its probes. Danger: an answer that went missing is no dead node."""
+        node = self.nodes.get(event.node)
+        if node is None:
+            return
+        self._report(event.node, event.report)
+        if event.ok and node.silent:
+            node.silent, node.rest_until = False, self.now
+        elif node.silent:
+            node.failed(self.now, SILENT_REST_US, SUSPEND_MOST_US)
+            self._timer(node.rest_until, lambda: self._look(event.node))
+
+    def _look(self, node_id: int) -> None:
+        """Probe a silent node rather than try a task on it."""
+        node = self.nodes.get(node_id)
+        if node is not None and node.silent and node.entry.status is api.NodeStatus.READY:
+            self.actions.append(api.Probe(node_id))
+
+    def _was_silent(self, node: Node) -> None:
+        node.failed(self.now, SILENT_REST_US, SUSPEND_MOST_US)
+        self.zone_silent.setdefault(node.entry.zone, set()).add(node.entry.id)
+        if self.s.may_probe and not node.silent:
+            node.silent = True
+            self._look(node.entry.id)
+
     def _probe_one(self) -> None:
         """Each task asked buys one probe, of the home part's node least recently heard of."""
         if not self.s.may_probe or self.s.price_probe > PROBE_PRICE_MOST:
@@ -413,11 +453,11 @@
         if job.shots >= self.s.max_attempts or not self._may_try_again(job):
             self._give_up(job)
             return
-        node = self._choose(job)
+        node = self._choose(job) if self.now >= job.wait_until else None
         if node is not None:
             self._bind(job, node)
-            return
-        self._hold(job)
+        else:
+            self._hold(job)
 
     def _hold(self, job: Open) -> None:
         self.held[job.task.id] = None
@@ -488,7 +528,9 @@
     def _fits(self, job: Open, node: Node) -> bool:
         """Kind, drains, health, room, cold budget and spread."""
         task, sort = job.task, job.sort
-        if node.entry.status is not api.NodeStatus.READY or node.leaving or self.now < node.rest_until:
+        if node.entry.status is not api.NodeStatus.READY or node.leaving or node.silent:
+            return False
+        if self.now < max(node.rest_until, node.shut.get((task.class_index, task.tenant), (0, 0))[0]):
             return False
         if node.out() >= node.out_most or self._zone_rests(node.entry.zone):
             return False
@@ -610,7 +652,8 @@
             job.sort.effect is api.Effect.KEYED and job.sort.dedup_scope is api.Scope.ALL
         )
         left = job.task.expires_us - self.now
-        wait = max(TIMEOUT_LEAST_US, int(TIMEOUT_STARTS * self.start_us))
+        least = TIMEOUT_LEAST_US if self.s.confirms_running else ACCEPT_LEAST_US
+        wait = max(least, int(TIMEOUT_STARTS * self.start_us))
         if not again or job.shots >= self.s.max_attempts or wait * 1.3 > left:
             return 0
         return wait
@@ -678,6 +721,8 @@
             job.out = None
         if not proved and job.risk_node is None:
             job.risk_node = attempt
+        if event.result is api.Result.REFUSED and job.shots > 1:
+            job.wait_until = self.now + (AGAIN_US << (job.shots - 2))
         if job.out is None:
             if self.now >= event_deadline(job, self.s):
                 self._give_up(job)
@@ -705,17 +750,16 @@
             elif reason in (api.Reason.NO_CORES, api.Reason.NO_MEMORY):
                 node.no_room = (attempt.task.cores, attempt.task.memory, self.now)
             elif reason is api.Reason.UNTOLD:
-                node.failed(self.now, SUSPEND_QUICK_US)
+                node.turned_away(attempt.task, self.now)
         elif event.result is api.Result.ERROR:
-            node.failed(self.now, SUSPEND_QUICK_US)
+            node.failed(self.now, SUSPEND_US, SUSPEND_QUICK_US)
         elif event.result in (api.Result.UNREACHABLE, api.Result.TIMEOUT):
-            node.failed(self.now, SUSPEND_MOST_US)
-            self.zone_silent.setdefault(node.entry.zone, set()).add(event.node)
+            self._was_silent(node)
         elif event.result is api.Result.LOST:
             if reason is api.Reason.SENT_AWAY:
                 node.leaving = True
             elif reason is api.Reason.UNTOLD:
-                node.failed(self.now, SUSPEND_MOST_US)
+                self._was_silent(node)
 
     # Answers and waiting
 
@@ -725,7 +769,7 @@
         self.held.clear()
         misses = 0
         for job in sorted(waiting, key=lambda j: -j.sort.worth):
-            if misses < POLL_MISSES:
+            if misses < POLL_MISSES and self.now >= job.wait_until:
                 self._try_place(job)
                 misses += job.task.id in self.held
             else:
