--- a/stairplank/decide.py
+++ b/stairplank/decide.py
@@ -14,7 +14,10 @@
 from . import interface as api
 
 PART_LEAST = 4  # nodes a part should have: fewer leave nothing to draw from
-FETCH_SLACK = 0.16  # of what a node accepts: so much fuller may it be if that saves fetching the program
+COMFORT = 0.8  # of the level at which tasks are served worse: below it fuller nodes serve as well
+FADE_BORNE = 0.25  # share of its service that a task may lose to busy cores at level 1
+FETCH_SLACK = 0.2  # of that level: so much fuller may a node or part be if that saves fetching the program
+MEMORY_USE = 0.8  # share of the asked memory taken to be in use until tasks have told
 DRAWN = 3  # nodes drawn in a part, the roomiest is taken: two leave too much to chance in small parts
 SAMPLED = 16  # nodes looked at when neither part has room: enough to find what is left
 MEMORY_SHORT = 0.9  # share of a node's memory in use above which it gets nothing new: it soon evicts
@@ -175,12 +178,6 @@
             self.use = seen if self.use is None else self.use + USE_WEIGHT * (seen - self.use)
         return self.use
 
-    def share_with(self, task: api.Task, use: float) -> float:
-        """The larger asked share with the task on it; cores used more than usual count for more."""
-        cores, memory = self.asked()
-        crowd = 1.0 if self.use is None else self.use / use
-        return max((cores + task.cores) / self.cores * crowd, (memory + task.memory) / self.memory)
-
     def out(self) -> int:
         return sum(1 for a in self.attempts.values() if not a.placed)
 
@@ -290,7 +287,7 @@
         self.polling = False
         self.watch_fails = 0
         self.lag = float(LIST_LAG_US)
-        self.slack = FETCH_SLACK * settings.cores_limit
+        self.memory_use = MEMORY_USE
         self.use: float | None = None  # running mean of use over asked, over all nodes
         self.start_us = float(START_US if settings.confirms_running else START_US // 10)  # running mean
         self.zone_silent: dict[int, set[int]] = {}  # nodes found silent since their zone was last heard
@@ -491,7 +488,7 @@
         known = other = mixed(job.task.service) % len(parts)
         if other == home and len(parts) > 1:
             other = (home + 1 + self.rng.randrange(len(parts) - 1)) % len(parts)
-        stays = self._stays(parts[home], parts[other], known == home)
+        stays = self._stays(job.sort, parts[home], parts[other], known == home)
         for part in (home, other) if stays else (other, home):
             node = self._draw(job, [n for n in parts[part] if self._fits(job, n)])
             if node is not None:
@@ -499,31 +496,36 @@
         some = self.rng.sample(self.ready, min(SAMPLED, len(self.ready)))
         return self._draw(job, [n for n in some if self._fits(job, n)])
 
-    def _stays(self, home: list[Node], other: list[Node], known_at_home: bool) -> bool:
+    def _stays(self, sort: api.TaskClass, home: list[Node], other: list[Node], known_at_home: bool) -> bool:
         if other is home:
             return True
         if not home or not other:  # an empty part counts as full
             return bool(home)
-        step = max(
-            self.s.mean_cores / sum(n.cores for n in home), self.s.mean_memory / sum(n.memory for n in home)
-        )
-        fetch = int(self.slack / step)
-        exact, upper = self._load(home, True) / step, self._load(home, False) / step
-        believed = self._load(other, False) / step
+        step = self.s.mean_cores / sum(n.cores for n in home)
+        fetch = int(FETCH_SLACK / step)
+        exact, upper = self._load(sort, home, True) / step, self._load(sort, home, False) / step
+        believed = self._load(sort, other, False) / step
         if known_at_home:
             believed += fetch
         else:
             exact, upper = exact + fetch, upper + fetch
         return keeps_home(round(exact), round(exact) >= round(upper), round(believed))
 
-    def _load(self, part: list[Node], releases: bool) -> float:
-        """Load of a part: the larger asked share."""
-        cores = memory = 0.0
-        for node in part:
-            c, m = node.asked(releases)
-            cores += c
-            memory += m
-        return max(cores / sum(n.cores for n in part), memory / sum(n.memory for n in part))
+    def _load(self, sort: api.TaskClass, part: list[Node], releases: bool) -> float:
+        """Mean level of a part's nodes, weighted by size; below comfort all count as equal."""
+        size = sum(n.cores for n in part)
+        return max(COMFORT, sum(self._level(sort, n, n.asked(releases)) * n.cores for n in part) / size)
+
+    def _level(
+        self, sort: api.TaskClass, node: Node, asked: tuple[float, float], task: api.Task | None = None
+    ) -> float:
+        """How full a node is, with the task on it; from 1 on its tasks are served worse."""
+        cores, memory = asked
+        if task is not None:
+            cores, memory = cores + task.cores, memory + task.memory
+        use = node.use if node.use is not None else self.use if self.use is not None else 1.0
+        busy = cores / node.cores * use / (sort.calm_until + FADE_BORNE * sort.lost_over)
+        return max(busy, memory / node.memory * self.memory_use / MEMORY_SHORT)
 
     def _fits(self, job: Open, node: Node) -> bool:
         """Kind, drains, health, room, cold budget and spread."""
@@ -607,13 +609,14 @@
         """
         if not fitting:
             return None
-        task, use = job.task, max(self.use or 1.0, NEAR)
-        room = {n.entry.id: n.share_with(task, use) + START_WEIGHT * n.backlog() for n in fitting}
+        task = job.task
+        full = [self._level(job.sort, n, n.asked(), task) + START_WEIGHT * n.backlog() for n in fitting]
+        room = {n.entry.id: max(COMFORT, level) for n, level in zip(fitting, full, strict=True)}
         least = min(room.values())
-        near = [n for n in fitting if room[n.entry.id] <= least + self.slack]
+        near = [n for n in fitting if room[n.entry.id] <= least + FETCH_SLACK]
         pool = [n for n in near if n.is_warm_for(task.service)] or near
         drawn = sorted(pool, key=lambda n: mixed(task.service ^ n.mix))[:DRAWN]
-        ranked = [(room[n.entry.id] + self.slack * i, i, n) for i, n in enumerate(drawn)]
+        ranked = [(room[n.entry.id] + FETCH_SLACK * i, i, n) for i, n in enumerate(drawn)]
         return min(ranked)[2]
 
     def _bind(self, job: Open, node: Node) -> None:
@@ -687,6 +690,8 @@
         node = self._node_of(attempt) if attempt else None
         if node is not None and event.kind is api.NoteKind.NODE_MEMORY_SHARE and event.level > MEMORY_SHORT:
             node.rest_until = max(node.rest_until, self.now + MEMORY_REST_US)  # next it would evict
+        if attempt is not None and event.kind is api.NoteKind.MEMORY_USED:
+            self.memory_use += USE_MEAN * (event.level / max(attempt.task.memory, NEAR) - self.memory_use)
         if node is not None and event.kind is api.NoteKind.RUNNING:
             node.served()  # an acceptance alone proves nothing: the start may still fail
 
--- a/stairplank/interface.py
+++ b/stairplank/interface.py
@@ -96,6 +96,7 @@
     node_kind: int | None = None
     priority: int = 0
     calm_until: float = 1.0  # served in full while the cores are busy up to this share
+    lost_over: float = 1.0  # and not at all from so much more on
 
 
 @dataclass(frozen=True, slots=True)
--- a/stairplank/wire.py
+++ b/stairplank/wire.py
@@ -349,6 +349,7 @@
     kind = o.items("family_info.class_kind", lambda x: int(float(x)), n, -1)
     priority = o.items("family_info.priority_by_class", lambda x: int(float(x)), n, 0)
     calm = o.items("family_info.easy_until", float, n, 1.0)
+    lost = o.items("family_info.lost_after", float, n, 1.0)
     classes = []
     for c in range(n):
         p = f"classes.{c}."
@@ -369,6 +370,7 @@
                 node_kind=kind[c] if kind[c] >= 0 else None,
                 priority=priority[c],
                 calm_until=calm[c],
+                lost_over=lost[c],
             )
         )
     kinds = o.items("kinds", str)
