--- a/stairplank/decide.py
+++ b/stairplank/decide.py
@@ -489,12 +489,20 @@
         if other == home and len(parts) > 1:
             other = (home + 1 + self.rng.randrange(len(parts) - 1)) % len(parts)
         stays = self._stays(job.sort, parts[home], parts[other], known == home)
-        for part in (home, other) if stays else (other, home):
-            node = self._draw(job, [n for n in parts[part] if self._fits(job, n)])
-            if node is not None:
-                return node
+        first, second = (home, other) if stays else (other, home)
         some = self.rng.sample(self.ready, min(SAMPLED, len(self.ready)))
-        return self._draw(job, [n for n in some if self._fits(job, n)])
+        for unused in (False, True) if self.s.price_fleet else (True,):
+            for among in (parts[first], parts[second], some):
+                fitting = [n for n in among if (unused or self._in_use(job, n)) and self._fits(job, n)]
+                node = self._draw(job, fitting)
+                if node is not None:
+                    return node
+        return None
+
+    def _in_use(self, job: Open, node: Node) -> bool:
+        """It holds a task and bears one more well. Danger: each node that holds a task beyond need is priced."""
+        held = bool(node.attempts) or node.asked()[0] > NEAR
+        return held and self._level(job.sort, node, node.asked(), job.task) <= 1
 
     def _stays(self, sort: api.TaskClass, home: list[Node], other: list[Node], known_at_home: bool) -> bool:
         if other is home:
