--- a/stairplank/decide.py
+++ b/stairplank/decide.py
@@ -489,20 +489,16 @@
         if other == home and len(parts) > 1:
             other = (home + 1 + self.rng.randrange(len(parts) - 1)) % len(parts)
         stays = self._stays(job.sort, parts[home], parts[other], known == home)
-        first, second = (home, other) if stays else (other, home)
+        for part in (home, other) if stays else (other, home):
+            node = self._draw(job, [n for n in parts[part] if self._fits(job, n)])
+            if node is not None:
+                return node
         some = self.rng.sample(self.ready, min(SAMPLED, len(self.ready)))
-        for unused in (False, True) if self.s.price_fleet else (True,):
-            for among in (parts[first], parts[second], some):
-                fitting = [n for n in among if (unused or self._in_use(job, n)) and self._fits(job, n)]
-                node = self._draw(job, fitting)
-                if node is not None:
-                    return node
-        return None
-
-    def _in_use(self, job: Open, node: Node) -> bool:
-        """It holds a task and bears one more well. Danger: each node that holds a task beyond need is priced."""
-        held = bool(node.attempts) or node.asked()[0] > NEAR
-        return held and self._level(job.sort, node, node.asked(), job.task) <= 1
+        return self._draw(job, [n for n in some if self._fits(job, n)])
+
+    def _in_use(self, node: Node) -> bool:
+        """It holds tasks, or has come up lately, so was wanted: successors of drained nodes must not idle."""
+        return bool(node.attempts) or node.asked()[0] > NEAR or node.entry.launched_us > 0
 
     def _stays(self, sort: api.TaskClass, home: list[Node], other: list[Node], known_at_home: bool) -> bool:
         if other is home:
@@ -620,7 +616,10 @@
         task = job.task
         full = [self._level(job.sort, n, n.asked(), task) + START_WEIGHT * n.backlog() for n in fitting]
         room = {n.entry.id: max(COMFORT, level) for n, level in zip(fitting, full, strict=True)}
-        least = min(room.values())
+        used = [n for n in fitting if self._in_use(n)]
+        if used and self.s.price_fleet and min(room[n.entry.id] for n in used) <= 1:
+            fitting = used  # each node in use beyond need is priced
+        least = min(room[n.entry.id] for n in fitting)
         near = [n for n in fitting if room[n.entry.id] <= least + FETCH_SLACK]
         pool = [n for n in near if n.is_warm_for(task.service)] or near
         drawn = sorted(pool, key=lambda n: mixed(task.service ^ n.mix))[:DRAWN]
