The reserve kept from late tasks is 0.3 of a node; the learned limit of unanswered binds goes

Cause: at a full fleet tasks that can no longer start in time took the room of those that can, and their attempts met full nodes.

--- a/stairplank/decide.py
+++ b/stairplank/decide.py
@@ -50,13 +50,11 @@
 HEALED = 0.34  # of a failure that one good start makes up for: a node that fails every third start stays out
 SUSPEND_MOST_US = 8_000_000  # long enough for a reboot, short enough to find a healed node again
 FULL_REST_US = 150_000  # rest after "too many offers wait": about one queue of looks
-OUT_START = 24.0  # unanswered binds a node may have until its own limit is learned
-OUT_CUT, OUT_GROW = 0.7, 0.05  # at each "too many wait", at each placing: slowly up again
 SHUT_US = 8_000_000  # first rest of one class at a node that turns it away for no told reason; doubles
 SHUT_MOST_US = 32_000_000
 AGAIN_US = 250_000  # wait before the third attempt after refusals, doubling: in a race for room haste loses
 NO_ROOM_US = 1_500_000  # so long a refusal for room stands against as large a task, if no later word comes
-LATE_RESERVE = 0.05  # share of a node's room kept from tasks whose start can no longer be in time
+LATE_RESERVE = 0.3  # share of a node's room kept from tasks whose start can no longer be in time
 COLD_SHARE_USED = 0.8  # of the surely borne offers of a cold node: jitter may push some into the next window
 COLD_RAMP = 4.0  # and by the end of its warming so many times as many more: it gains pace on the way
 COLD_OUT_MOST = 2  # unanswered binds on a cold node: its pace is a fraction of the usual
@@ -149,7 +147,6 @@
         self.rest_until = 0
         self.silent = False  # gave no answer, and has not been heard since
         self.shut: dict[tuple[int, int], tuple[int, int]] = {}  # class and tenant turned away: until, span
-        self.out_most = OUT_START
         self.no_room: tuple[float, float, int] | None = None  # cores and memory refused, and when
         self.leaving = False  # a task was sent away from it: it drains, whatever the list says
 
@@ -231,7 +228,6 @@
 
     def served(self) -> None:
         self.streak, self.silent = max(0.0, self.streak - HEALED), False
-        self.out_most = min(OUT_START, self.out_most + OUT_GROW)
 
 
 class Open:
@@ -538,7 +534,7 @@
             return False
         if self.now < max(node.rest_until, node.shut.get((task.class_index, task.tenant), (0, 0))[0]):
             return False
-        if node.out() >= node.out_most or self._zone_rests(node.entry.zone):
+        if self._zone_rests(node.entry.zone):
             return False
         if sort.node_kind is not None and node.entry.kind != sort.node_kind:
             return False
@@ -758,7 +754,6 @@
         if event.result is api.Result.REFUSED:
             if reason is api.Reason.QUEUE_FULL:
                 node.rest_until = max(node.rest_until, self.now + FULL_REST_US)
-                node.out_most = max(1.0, OUT_CUT * min(node.out_most, node.out() + 1))
             elif reason in (api.Reason.NO_CORES, api.Reason.NO_MEMORY):
                 node.no_room = (attempt.task.cores, attempt.task.memory, self.now)
             elif reason is api.Reason.UNTOLD:
