--- a/stairplank/decide.py
+++ b/stairplank/decide.py
@@ -10,6 +10,7 @@
 import random
 from collections import Counter, deque
 from collections.abc import Callable
+from typing import NamedTuple
 
 from . import interface as api
 
@@ -20,8 +21,7 @@
 MEMORY_USE = 0.8  # share of the asked memory taken to be in use until tasks have told
 DRAWN = 3  # nodes drawn in a part, the roomiest is taken: two leave too much to chance in small parts
 SAMPLED = 16  # nodes looked at when neither part has room: enough to find what is left
-MEMORY_SHORT = 0.9  # share of a node's memory in use above which it gets nothing new: it soon evicts
-MEMORY_REST_US = 1_200_000  # a little more than the time between two words on it
+MEMORY_SHORT, MEMORY_REST_US = 0.9, 1_200_000  # share of memory in use that rests a node: it soon evicts
 START_WEIGHT = 0.006  # share of a node that one start waiting there counts as, so that starts spread in time
 NEW_PROGRAM = 8.0  # starts that one start from nothing is worth: the program must be fetched first
 KEPT_PROGRAMS = 4  # programs a node is taken to keep after their last task: the least one may hope for
@@ -41,27 +41,23 @@
 TIMEOUT_STARTS = 5.0  # an attempt that may be repeated is given up after so many usual times to an answer ...
 TIMEOUT_LEAST_US = 1_500_000  # ... but not before a start from nothing can have ended,
 ACCEPT_LEAST_US = 400_000  # or, where acceptance is the answer, a queue of looks
-START_US = 1_000_000  # usual time to an answer until answers have come
+START_US, ACCEPT_US = 1_000_000, 100_000  # usual time to a start and an acceptance until some have come
 START_MEAN = 0.05  # weight of one answer in its running mean
 SUSPEND_US = 700_000  # first rest of a node that failed; doubles with each further failure
 SILENT_REST_US = 2_000_000  # the same of one that was silent: it is probed then and at the end of each rest
 SUSPEND_QUICK_US = 1_000_000  # longest rest after a quick error: a retry costs little, idle nodes cost much
-ZONE_SILENT = 2  # different silent nodes of another zone, none heard since, that make the way suspect
 HEALED = 0.34  # of a failure that one good start makes up for: a node that fails every third start stays out
 SUSPEND_MOST_US = 8_000_000  # long enough for a reboot, short enough to find a healed node again
 FULL_REST_US = 150_000  # rest after "too many offers wait": about one queue of looks
-SHUT_US = 8_000_000  # first rest of one class at a node that turns it away for no told reason; doubles
-SHUT_MOST_US = 32_000_000
+SHUT_US, SHUT_MOST_US = 8_000_000, 32_000_000  # rest of one class at a node that turns it away; doubles
 AGAIN_US = 250_000  # wait before the third attempt after refusals, doubling: in a race for room haste loses
 NO_ROOM_US = 1_500_000  # so long a refusal for room stands against as large a task, if no later word comes
 LATE_RESERVE = 0.3  # share of a node's room kept from tasks whose start can no longer be in time
 COLD_SHARE_USED = 0.8  # of the surely borne offers of a cold node: jitter may push some into the next window
 COLD_RAMP = 4.0  # and by the end of its warming so many times as many more: it gains pace on the way
 COLD_OUT_MOST = 2  # unanswered binds on a cold node: its pace is a fraction of the usual
-WATCH_RETRY_US = 600_000  # before the list is asked for again after a failed call
-WATCH_RETRY_MOST_US = 3_000_000
-HASH_1, HASH_2 = 0xBF58476D1CE4E5B9, 0x94D049BB133111EB  # of splitmix64: well mixed, the same everywhere
-MASK = 0xFFFFFFFFFFFFFFFF
+WATCH_RETRY_US, WATCH_RETRY_MOST_US = 600_000, 3_000_000  # before the list is asked for again after a failure
+HASH_1, HASH_2, MASK = 0xBF58476D1CE4E5B9, 0x94D049BB133111EB, 0xFFFFFFFFFFFFFFFF  # of splitmix64
 NEAR = 1e-4  # two amounts of cores or memory closer than this are the same
 
 
@@ -101,13 +97,12 @@
     return ((slot + 1) * budget + spare) // planners - (slot * budget + spare) // planners
 
 
-class Change:
+class Change(NamedTuple):
     """Own bind (amounts above 0) or release (below 0) that the list does not show yet."""
 
-    __slots__ = ("at", "cores", "memory")
-
-    def __init__(self, at: int, cores: float, memory: float) -> None:
-        self.at, self.cores, self.memory = at, cores, memory
+    at: int
+    cores: float
+    memory: float
 
 
 class Attempt:
@@ -147,7 +142,7 @@
         self.rest_until = 0
         self.silent = False  # gave no answer, and has not been heard since
         self.shut: dict[tuple[int, int], tuple[int, int]] = {}  # class and tenant turned away: until, span
-        self.no_room: tuple[float, float, int] | None = None  # cores and memory refused, and when
+        self.no_room: tuple[float, float, int] | None = None  # cores and memory refused, until when
         self.leaving = False  # a task was sent away from it: it drains, whatever the list says
 
     def asked(self, releases: bool = True) -> tuple[float, float]:
@@ -163,7 +158,7 @@
     def learn(self, free: tuple[float, float], as_of: int) -> None:
         """Take fresher figures; own changes they must show are dropped, so that each is counted once."""
         self.free, self.as_of, self.sums = free, as_of, None
-        if self.no_room and self.no_room[2] < as_of:
+        if self.no_room and self.no_room[2] < as_of + NO_ROOM_US:
             self.no_room = None
         self.changes = [c for c in self.changes if c.at > as_of]
 
@@ -175,9 +170,6 @@
             self.use = seen if self.use is None else self.use + USE_WEIGHT * (seen - self.use)
         return self.use
 
-    def out(self) -> int:
-        return sum(1 for a in self.attempts.values() if not a.placed)
-
     def backlog(self) -> float:
         """Own starts that wait there: slow, frozen and hung nodes show themselves by it."""
         return sum(a.work for a in self.attempts.values() if not a.placed)
@@ -201,16 +193,11 @@
 
     def restart(self) -> None:
         """It came up anew: what ran or was bound there is gone, and so are its programs and old faults."""
-        self.changes.clear()
-        self.sums = None
-        self.attempts.clear()
-        self.services.clear()
-        self.kept.clear()
-        self.use = None
+        for known in (self.changes, self.attempts, self.services, self.kept, self.shut):
+            known.clear()
+        self.sums = self.use = None
         self.cold_slot, self.cold_used = -1, 0
-        self.streak, self.rest_until, self.silent = 0.0, 0, False
-        self.shut.clear()
-        self.leaving = False
+        self.streak, self.rest_until, self.silent, self.leaving = 0.0, 0, False, False
 
     def failed(self, now: int, first: int, most: int) -> None:
         """Rest it, longer each time. Danger: a node that fails fast looks roomy and draws tasks."""
@@ -243,15 +230,21 @@
         self.wait_until = 0
         self.risk_node: Attempt | None = None  # the first attempt that may have run
 
-    def may_go_to(self, node: Node, now: int, tick: int) -> bool:
-        """Rule 2: where a further attempt may go once an earlier one may have run."""
+    def last_call(self, tick: int) -> int:
+        """From here on the task is answered where no attempt is out."""
+        return self.task.expires_us - GIVE_UP_TICKS * tick
+
+    def may_repeat(self, now: int, tick: int) -> bool:
+        """Rule 2: whether a further attempt may go anywhere once an earlier one may have run."""
         first = self.risk_node
         if first is None or self.sort.effect is api.Effect.REPEATABLE:
             return True
-        if self.sort.effect is api.Effect.ONCE or now + 2 * tick >= first.sent + self.sort.window_us:
-            return False
-        scope = self.sort.dedup_scope
-        if scope is api.Scope.ALL:
+        return self.sort.effect is api.Effect.KEYED and now + 2 * tick < first.sent + self.sort.window_us
+
+    def may_go_to(self, node: Node) -> bool:
+        """Rule 2: where a further attempt may go once an earlier one may have run."""
+        first, scope = self.risk_node, self.sort.dedup_scope
+        if first is None or self.sort.effect is api.Effect.REPEATABLE or scope is api.Scope.ALL:
             return True
         if scope is api.Scope.ZONE:
             return node.entry.zone == first.zone
@@ -285,9 +278,7 @@
         self.lag = float(LIST_LAG_US)
         self.memory_use = MEMORY_USE
         self.use: float | None = None  # running mean of use over asked, over all nodes
-        self.start_us = float(START_US if settings.confirms_running else START_US // 10)  # running mean
-        self.zone_silent: dict[int, set[int]] = {}  # nodes found silent since their zone was last heard
-        self.zone_tried: dict[int, int] = {}
+        self.start_us = float(START_US if settings.confirms_running else ACCEPT_US)  # running mean
         self.spread: Counter[tuple[int, api.Scope, int]] = Counter()
         self.actions: list[api.Action] = []
 
@@ -340,25 +331,22 @@
             self.watch_fails = 0
         if event.kind is not api.ListKind.CHANGES:
             listed = {entry.id for entry in event.nodes}
-            for node_id in [n for n in self.nodes if n not in listed]:
-                del self.nodes[node_id]
-                self.parts = None
+            self.nodes = {n: node for n, node in self.nodes.items() if n in listed}
+            self.parts = None
         for entry in event.nodes:
             self._entry(entry)
 
     def _entry(self, entry: api.NodeEntry) -> None:
         if entry.status is api.NodeStatus.GONE or not 0 <= entry.kind < len(self.s.kinds):
-            if self.nodes.pop(entry.id, None):
-                self.parts = None
+            self.parts = self.parts if self.nodes.pop(entry.id, None) is None else None
             return
         node = self.nodes.get(entry.id)
+        if node is None or node.entry.status is not entry.status:
+            self.parts = None
         if node is None:
             self.nodes[entry.id] = Node(entry, self.s)
-            self.parts = None
             return
         old, node.entry = node.entry, entry
-        if old.status is not entry.status:
-            self.parts = None
         if entry.launched_us > old.launched_us:
             node.restart()
             node.learn((entry.free_cores, entry.free_memory), self.now)
@@ -414,7 +402,6 @@
 
     def _was_silent(self, node: Node) -> None:
         node.failed(self.now, SILENT_REST_US, SUSPEND_MOST_US)
-        self.zone_silent.setdefault(node.entry.zone, set()).add(node.entry.id)
         if self.s.may_probe and not node.silent:
             node.silent = True
             self._look(node.entry.id)
@@ -435,15 +422,15 @@
     def _asked(self, task: api.Task) -> None:
         if task.id in self.open or not 0 <= task.class_index < len(self.s.classes):
             return
-        self.open[task.id] = Open(task, self.s.classes[task.class_index])
-        self._timer(task.expires_us - GIVE_UP_TICKS * self.s.tick_us, lambda: self._deadline(task.id))
+        job = self.open[task.id] = Open(task, self.s.classes[task.class_index])
+        self._timer(job.last_call(self.s.tick_us), lambda: self._deadline(task.id))
         self._probe_one()
-        self._try_place(self.open[task.id])
+        self._try_place(job)
 
     def _try_place(self, job: Open) -> None:
-        """api.Bind the task, hold it until something fits, or answer where no further attempt is allowed."""
+        """Bind the task, hold it until something fits, or answer where no further attempt is allowed."""
         self.held.pop(job.task.id, None)
-        if job.shots >= self.s.max_attempts or not self._may_try_again(job):
+        if job.shots >= self.s.max_attempts or not job.may_repeat(self.now, self.s.tick_us):
             self._give_up(job)
             return
         node = self._choose(job) if self.now >= job.wait_until else None
@@ -458,15 +445,6 @@
             self.polling = True
             self._timer(self.now + HOLD_POLL_US, self._poll)
 
-    def _may_try_again(self, job: Open) -> bool:
-        first = job.risk_node
-        if first is None or job.sort.effect is api.Effect.REPEATABLE:
-            return True
-        return (
-            job.sort.effect is api.Effect.KEYED
-            and self.now + 2 * self.s.tick_us < first.sent + job.sort.window_us
-        )
-
     def _cut(self) -> list[list[Node]]:
         """The ready nodes by part. Cut anew when a node comes, goes or drains; beliefs stay."""
         if self.parts is None:
@@ -516,13 +494,15 @@
         size = sum(n.cores for n in part)
         return max(COMFORT, sum(self._level(sort, n, n.asked(releases)) * n.cores for n in part) / size)
 
-    def _level(
-        self, sort: api.TaskClass, node: Node, asked: tuple[float, float], task: api.Task | None = None
-    ) -> float:
-        """How full a node is, with the task on it; from 1 on its tasks are served worse."""
+    def _level_with(self, job: Open, node: Node) -> float:
+        """A node's level with the task on it and the own starts that wait there."""
+        cores, memory = node.asked()
+        level = self._level(job.sort, node, (cores + job.task.cores, memory + job.task.memory))
+        return level + START_WEIGHT * node.backlog()
+
+    def _level(self, sort: api.TaskClass, node: Node, asked: tuple[float, float]) -> float:
+        """How full a node is; from 1 on its tasks are served worse."""
         cores, memory = asked
-        if task is not None:
-            cores, memory = cores + task.cores, memory + task.memory
         use = node.use if node.use is not None else self.use if self.use is not None else 1.0
         busy = cores / node.cores * use / (sort.calm_until + FADE_BORNE * sort.lost_over)
         return max(busy, memory / node.memory * self.memory_use / MEMORY_SHORT)
@@ -534,54 +514,29 @@
             return False
         if self.now < max(node.rest_until, node.shut.get((task.class_index, task.tenant), (0, 0))[0]):
             return False
-        if self._zone_rests(node.entry.zone):
-            return False
         if sort.node_kind is not None and node.entry.kind != sort.node_kind:
             return False
-        if (
-            task.id in self.open
-            and node.entry.id in job.tried
-            or not job.may_go_to(node, self.now, self.s.tick_us)
-        ):
+        if node.entry.id in job.tried or not job.may_go_to(node):
             return False
         return self._has_room(job, node) and self._cold_allows(node) and self._spread_allows(task, sort, node)
 
-    def _zone_rests(self, zone: int) -> bool:
-        """Danger: behind a cut link every node costs its own time-outs; one task at a time tries."""
-        if zone == self.s.zone or len(self.zone_silent.get(zone, ())) < ZONE_SILENT:
-            return False
-        return self.now < self.zone_tried.get(zone, 0) + SUSPEND_US
-
     def _has_room(self, job: Open, node: Node) -> bool:
         """Danger: all planners race for each release; a refusal counts for more than belief."""
         task, refused = job.task, node.no_room
-        if (
-            refused
-            and self.now < refused[2] + NO_ROOM_US
-            and task.cores >= refused[0]
-            and task.memory >= refused[1]
-        ):
+        if refused and task.cores >= refused[0] and task.memory >= refused[1] and self.now < refused[2]:
             return False
+        late = task.again or self.now > task.expires_us - job.sort.deadline_us + job.sort.aim_us
+        spare = LATE_RESERVE if late else 0.0  # else they take the room of those that can start in time
         cores, memory = node.asked()
-        spare = self._reserve(job)
-        return (
-            cores + task.cores <= (self.s.cores_limit - spare) * node.cores + NEAR
-            and memory + task.memory <= (self.s.memory_limit - spare) * node.memory + NEAR
-        )
-
-    def _reserve(self, job: Open) -> float:
-        """Room that less worthy tasks leave free for those that can still start in time."""
-        late = job.task.again or self.now > job.task.expires_us - job.sort.deadline_us + job.sort.aim_us
-        return LATE_RESERVE if late else 0.0
-
-    def _is_cold(self, node: Node) -> bool:
-        return node.entry.launched_us > 0 and self.now < node.entry.launched_us + self.s.cold_us
+        if cores + task.cores > (self.s.cores_limit - spare) * node.cores + NEAR:
+            return False
+        return memory + task.memory <= (self.s.memory_limit - spare) * node.memory + NEAR
 
     def _cold_allows(self, node: Node) -> bool:
         """Rule 4. Danger: all planners find a fresh node roomiest; they take turns, slot by slot."""
-        if not self._is_cold(node):
-            return True
         since, width = max(0, self.now - node.entry.launched_us), max(1, self.s.fall_us)
+        if node.entry.launched_us == 0 or since >= self.s.cold_us:
+            return True
         slot = since // width
         if node.entry.launched_us + slot * width <= self.born:
             return False  # what an earlier life of this planner sent in the slot is not known
@@ -589,7 +544,8 @@
             node.cold_slot, node.cold_used = slot, 0
         budget = int(COLD_SHARE_USED * self.s.fresh_offers / 2)  # a window may lie across two slots
         turn = cold_turn(slot, (self.s.position + node.mix) % self.s.planners, self.s.planners, budget)
-        return node.cold_used < turn and node.out() < COLD_OUT_MOST * (1 + COLD_RAMP * since / self.s.cold_us)
+        out = sum(1 for a in node.attempts.values() if not a.placed)
+        return node.cold_used < turn and out < COLD_OUT_MOST * (1 + COLD_RAMP * since / self.s.cold_us)
 
     def _place(self, scope: api.Scope, node: int, group: int, zone: int) -> int:
         return {api.Scope.NODE: node, api.Scope.GROUP: group, api.Scope.ZONE: zone}.get(scope, 0)
@@ -609,16 +565,14 @@
         """
         if not fitting:
             return None
-        task = job.task
-        full = [self._level(job.sort, n, n.asked(), task) + START_WEIGHT * n.backlog() for n in fitting]
-        room = {n.entry.id: max(COMFORT, level) for n, level in zip(fitting, full, strict=True)}
+        room = {n.entry.id: max(COMFORT, self._level_with(job, n)) for n in fitting}
         used = [n for n in fitting if self._in_use(n)]
         if used and self.s.price_fleet and min(room[n.entry.id] for n in used) <= 1:
             fitting = used  # each node in use beyond need is priced
         least = min(room[n.entry.id] for n in fitting)
         near = [n for n in fitting if room[n.entry.id] <= least + FETCH_SLACK]
-        pool = [n for n in near if n.is_warm_for(task.service)] or near
-        drawn = sorted(pool, key=lambda n: mixed(task.service ^ n.mix))[:DRAWN]
+        pool = [n for n in near if n.is_warm_for(job.task.service)] or near
+        drawn = sorted(pool, key=lambda n: mixed(job.task.service ^ n.mix))[:DRAWN]
         ranked = [(room[n.entry.id] + FETCH_SLACK * i, i, n) for i, n in enumerate(drawn)]
         return min(ranked)[2]
 
@@ -628,9 +582,7 @@
         attempt.change = Change(self.now, job.task.cores, job.task.memory)
         node.changes.append(attempt.change)
         node.sums = None
-        if self._is_cold(node):
-            node.cold_used += 1
-        self.zone_tried[node.entry.zone] = self.now
+        node.cold_used += 1  # counts only while it is cold
         job.shots += 1
         job.out = attempt
         job.tried.add(node.entry.id)
@@ -654,10 +606,8 @@
 
     def _timeout(self, job: Open) -> int:
         """A short time-out pays only where a further attempt may go anywhere; else it loses the task."""
-        again = job.sort.effect is api.Effect.REPEATABLE or (
-            job.sort.effect is api.Effect.KEYED and job.sort.dedup_scope is api.Scope.ALL
-        )
-        left = job.task.expires_us - self.now
+        left, again = job.task.expires_us - self.now, job.sort.effect is api.Effect.REPEATABLE
+        again |= job.sort.effect is api.Effect.KEYED and job.sort.dedup_scope is api.Scope.ALL
         least = TIMEOUT_LEAST_US if self.s.confirms_running else ACCEPT_LEAST_US
         wait = max(least, int(TIMEOUT_STARTS * self.start_us))
         if not again or job.shots >= self.s.max_attempts or wait * 1.3 > left:
@@ -679,14 +629,11 @@
         if attempt is None:
             return
         attempt.placed = True
-        self.zone_silent.pop(attempt.zone, None)
         self.start_us += START_MEAN * (event.latency_us - self.start_us)
         node = self._node_of(attempt)
         if node is not None and self.s.confirms_running:
             node.served()
-        job = self.open.pop(event.task, None)
-        if job is not None:
-            self.held.pop(event.task, None)
+        self._close(event.task)
 
     def _note(self, event: api.Note) -> None:
         attempt = self.attempts.get((event.task, event.attempt))
@@ -701,11 +648,8 @@
     def _node_of(self, attempt: Attempt) -> Node | None:
         """The node of an attempt, unless it has started anew since."""
         node = self.nodes.get(attempt.node)
-        return (
-            node
-            if node is not None and node.entry.launched_us <= max(attempt.launched, attempt.sent)
-            else None
-        )
+        same = node is not None and node.entry.launched_us <= max(attempt.launched, attempt.sent)
+        return node if same else None
 
     def _outcome(self, event: api.Outcome) -> None:
         attempt = self.attempts.pop((event.task, event.attempt), None)
@@ -720,9 +664,7 @@
             self._release(node, attempt, proved)
             self._judge(node, attempt, event)
         job = self.open.get(event.task)
-        if job is None:
-            return
-        if event.closed:
+        if job is None or event.closed:
             self._close(event.task)
             return
         if job.out is attempt:
@@ -731,11 +673,10 @@
             job.risk_node = attempt
         if event.result is api.Result.REFUSED and job.shots > 1:
             job.wait_until = self.now + (AGAIN_US << (job.shots - 2))
-        if job.out is None:
-            if self.now >= event_deadline(job, self.s):
-                self._give_up(job)
-            else:
-                self._try_place(job)
+        if job.out is None and self.now >= job.last_call(self.s.tick_us):
+            self._give_up(job)
+        elif job.out is None:
+            self._try_place(job)
 
     def _release(self, node: Node, attempt: Attempt, proved: bool) -> None:
         """Count a release once: take back an unseen bind, set off a seen one until the list shows it."""
@@ -755,7 +696,7 @@
             if reason is api.Reason.QUEUE_FULL:
                 node.rest_until = max(node.rest_until, self.now + FULL_REST_US)
             elif reason in (api.Reason.NO_CORES, api.Reason.NO_MEMORY):
-                node.no_room = (attempt.task.cores, attempt.task.memory, self.now)
+                node.no_room = (attempt.task.cores, attempt.task.memory, self.now + NO_ROOM_US)
             elif reason is api.Reason.UNTOLD:
                 node.turned_away(attempt.task, self.now)
         elif event.result is api.Result.ERROR:
@@ -802,8 +743,3 @@
     def _close(self, task_id: int) -> None:
         self.open.pop(task_id, None)
         self.held.pop(task_id, None)
-
-
-def event_deadline(job: Open, settings: api.Settings) -> int:
-    """From here on a task without an attempt is answered, not tried again."""
-    return job.task.expires_us - GIVE_UP_TICKS * settings.tick_us
