--- a/stairplank/decide.py
+++ b/stairplank/decide.py
@@ -35,7 +35,7 @@
 LAG_WEIGHT = 0.1  # of one sighting in the running mean of the list's lag: a dozen sightings settle it
 LAG_MOST_US = 15_000_000  # an own change older than this is in any list that still moves
 HOLD_POLL_US = 40_000  # a task that fits nowhere is tried again so often: far under any aim, cheap in CPU
-POLL_MISSES = 16  # held tasks that find no room before a poll ends: in a jam the rest would not fit either
+POLL_MISSES = 6  # held tasks that find no room before a poll ends: in a jam the rest would not fit either
 GIVE_UP_TICKS = 3  # ticks before the deadline at which a held task is answered: two to act, one to spare
 REFUSE_AFTER_US = 200_000  # advice to a refused owner; owners wait a second or more anyhow
 TIMEOUT_STARTS = 5.0  # an attempt that may be repeated is given up after so many usual times to an answer ...
@@ -714,6 +714,7 @@
     def _poll(self) -> None:
         self.polling = False
         waiting = [self.open[t] for t in self.held if t in self.open]
+        self.rng.shuffle(waiting)  # else the same few that never fit would end each poll
         self.held.clear()
         misses = 0
         for job in sorted(waiting, key=lambda j: -j.sort.worth):
