--- a/stairplank/decide.py
+++ b/stairplank/decide.py
@@ -79,12 +79,12 @@
 
 
 def parts_for(nodes: int, planners: int) -> int:
-    """Into how many parts the nodes are cut. Danger: one for each planner leaves most of them empty."""
-    return max(1, min(planners, nodes // PART_LEAST))
+    """One part for each planner would leave most empty; other than a power of two, growth moves services."""
+    return 1 << (max(1, min(planners, nodes // PART_LEAST)).bit_length() - 1)
 
 
 def part_of(node: int, parts: int) -> int:
-    """The part a node belongs to: the same at every planner that lists as many nodes."""
+    """The part a node belongs to."""
     return mixed(node) % parts
 
 
--- a/tests/test_threshold.py
+++ b/tests/test_threshold.py
@@ -49,3 +49,8 @@
 def test_parts_stay_with_the_count() -> None:
     assert [part_of(n, 3) for n in range(6)] == [part_of(n, 3) for n in range(300)][:6]
     assert {part_of(n, 1) for n in range(50)} == {0}
+
+
+def test_a_growing_fleet_moves_services_only_as_it_doubles() -> None:
+    assert len({parts_for(nodes, 160) for nodes in range(33, 64)}) == 1
+    assert [parts_for(nodes, 160) for nodes in (8, 16, 32, 64, 128)] == [2, 4, 8, 16, 32]
