--- a/stairplank/decide.py
+++ b/stairplank/decide.py
@@ -79,12 +79,12 @@
 
 
 def parts_for(nodes: int, planners: int) -> int:
-    """One part for each planner would leave most empty; other than a power of two, growth moves services."""
-    return 1 << (max(1, min(planners, nodes // PART_LEAST)).bit_length() - 1)
+    """One part for each planner leaves most empty; a count in fine steps moves services as a fleet grows."""
+    most = max(1, min(planners, nodes // PART_LEAST))
+    return most >> (low := max(0, most.bit_length() - 2)) << low
 
 
 def part_of(node: int, parts: int) -> int:
-    """The part a node belongs to."""
     return mixed(node) % parts
 
 
