--- /dev/null
+++ b/stairplank/rpc/status.py
@@ -0,0 +1,82 @@
+"""Status codes of gRPC and the error that carries one."""
+
+from __future__ import annotations
+
+from enum import IntEnum
+
+
+class Code(IntEnum):
+    """The status codes, numbered as the gRPC documents number them."""
+
+    OK = 0
+    CANCELLED = 1
+    UNKNOWN = 2
+    INVALID_ARGUMENT = 3
+    DEADLINE_EXCEEDED = 4
+    NOT_FOUND = 5
+    ALREADY_EXISTS = 6
+    PERMISSION_DENIED = 7
+    RESOURCE_EXHAUSTED = 8
+    FAILED_PRECONDITION = 9
+    ABORTED = 10
+    OUT_OF_RANGE = 11
+    UNIMPLEMENTED = 12
+    INTERNAL = 13
+    UNAVAILABLE = 14
+    DATA_LOSS = 15
+    UNAUTHENTICATED = 16
+
+
+class RpcError(Exception):
+    """A call that did not end with OK.
+
+    ``never_ran`` is set only where the peer's HTTP/2 frames, or the lack of a connection, prove that no
+    handler saw the call; a call that was cut in any other way may have run.
+    """
+
+    def __init__(
+        self,
+        code: Code,
+        message: str = "",
+        *,
+        never_ran: bool = False,
+        trailers: tuple[tuple[str, str | bytes], ...] = (),
+    ) -> None:
+        super().__init__(f"{code.name}: {message}" if message else code.name)
+        self.code = code
+        self.message = message
+        self.never_ran = never_ran
+        self.trailers = trailers
+
+
+# RFC 9113 section 7 to gRPC, as the protocol document maps them.
+_H2_ERRORS = {
+    0x7: Code.UNAVAILABLE,  # REFUSED_STREAM
+    0x8: Code.CANCELLED,  # CANCEL
+    0xB: Code.RESOURCE_EXHAUSTED,  # ENHANCE_YOUR_CALM
+    0xC: Code.PERMISSION_DENIED,  # INADEQUATE_SECURITY
+}
+REFUSED_STREAM = 0x7
+
+_HTTP = {
+    400: Code.INTERNAL,
+    401: Code.UNAUTHENTICATED,
+    403: Code.PERMISSION_DENIED,
+    404: Code.UNIMPLEMENTED,
+    429: Code.UNAVAILABLE,
+    502: Code.UNAVAILABLE,
+    503: Code.UNAVAILABLE,
+    504: Code.UNAVAILABLE,
+}
+
+
+def from_reset(error_code: int) -> RpcError:
+    """What an RST_STREAM frame says of the call."""
+    code = _H2_ERRORS.get(error_code, Code.INTERNAL)
+    never = error_code == REFUSED_STREAM
+    return RpcError(code, f"stream reset by the peer (HTTP/2 error {error_code})", never_ran=never)
+
+
+def from_http(status: int) -> RpcError:
+    """A response without grpc-status: the HTTP status decides."""
+    return RpcError(_HTTP.get(status, Code.UNKNOWN), f"HTTP status {status} and no grpc-status")
--- /dev/null
+++ b/tests/rpc/test_hostile.py
@@ -0,0 +1,376 @@
+"""Peers that break, flood, hang or go away, spoken to in raw HTTP/2."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable, Iterator
+from typing import Any
+
+import gevent
+import h2.config
+import h2.connection
+import h2.events
+import pytest
+from gevent import socket
+from hyperframe.frame import GoAwayFrame
+
+from stairplank.rpc import Channel, Code, Limits, Method, RpcError, Server
+from stairplank.rpc.framing import MessageReader, decode_text, decode_timeout, encode_text, encode_timeout
+
+WAIT = 10.0
+HEADERS = [
+    (":method", "POST"),
+    (":scheme", "http"),
+    (":path", "/t.T/Chat"),
+    (":authority", "x"),
+    ("te", "trailers"),
+    ("content-type", "application/grpc"),
+]
+LIMITS = Limits(streams=3, floods=20, stream_window=65_535, send_bytes=50_000, handshake_s=0.3, connections=4)
+
+
+def same(raw: bytes) -> bytes:
+    return raw
+
+
+class Served:
+    def __init__(self, limits: Limits = LIMITS) -> None:
+        self.ran = 0
+        self.refused_sends = 0
+        methods = {
+            "/t.T/Chat": Method("bidi", self.chat, same, same),
+            "/t.T/Flood": Method("bidi", self.flood, same, same),
+            "/t.T/Hold": Method("bidi", lambda call: gevent.sleep(WAIT), same, same),
+        }
+        self.server = Server(["127.0.0.1:0"], methods, limits)
+        self.server.start()
+
+    def chat(self, call: Any) -> None:
+        self.ran += 1
+        while (part := call.recv()) is not None:
+            call.send(part)
+
+    def flood(self, call: Any) -> None:
+        call.recv()
+        while self.refused_sends < 3:
+            if not call.try_send(b"z" * 1000):
+                self.refused_sends += 1
+        call.stream.recv()
+
+
+@pytest.fixture
+def served() -> Iterator[Served]:
+    it = Served()
+    yield it
+    it.server.stop()
+
+
+class RawClient:
+    """h2 by hand, so that what the peer sends can be seen and broken."""
+
+    def __init__(self, address: str) -> None:
+        host, _, port = address.rpartition(":")
+        self.sock = socket.create_connection((host, int(port)), timeout=WAIT)
+        self.h2 = h2.connection.H2Connection(h2.config.H2Configuration(header_encoding="utf-8"))
+        self.h2.initiate_connection()
+        self.seen: list[Any] = []
+        self.push()
+
+    def push(self) -> None:
+        self.sock.sendall(self.h2.data_to_send())
+
+    def until(self, wanted: Callable[[Any], bool]) -> Any:
+        """The first event that is wanted, or None once the peer has closed."""
+        with gevent.Timeout(WAIT):
+            while True:
+                for event in self.seen:
+                    if wanted(event):
+                        self.seen.remove(event)
+                        return event
+                data = self.sock.recv(65536)
+                if not data:
+                    return None
+                self.seen += self.h2.receive_data(data)
+                self.push()
+
+
+def message(size: int, flag: int = 0) -> bytes:
+    return bytes([flag]) + size.to_bytes(4, "big")
+
+
+def test_streams_past_the_bound_are_refused_and_never_run(served: Served) -> None:
+    raw = RawClient(served.server.addresses[0])
+    for i in range(5):  # at once, before the server's SETTINGS are read
+        raw.h2.send_headers(1 + 2 * i, HEADERS)
+    raw.push()
+    for _ in range(2):
+        reset = raw.until(lambda e: isinstance(e, h2.events.StreamReset))
+        assert reset.error_code == 7 and reset.stream_id in (7, 9)
+    assert served.ran == 3
+
+
+def test_reset_flood_ends_the_connection(served: Served) -> None:
+    raw = RawClient(served.server.addresses[0])
+    end = None
+    try:
+        for i in range(200):
+            raw.h2.send_headers(1 + 2 * i, HEADERS)
+            raw.h2.reset_stream(1 + 2 * i)
+            raw.push()
+            gevent.sleep(0)
+        end = raw.until(lambda e: isinstance(e, h2.events.ConnectionTerminated))
+    except OSError:
+        pass  # closed while we were still at it
+    assert end is None or end.error_code == 11
+    with gevent.Timeout(WAIT):
+        while served.server.connections:
+            gevent.sleep(0.01)
+    assert served.ran <= LIMITS.floods + 2
+
+
+def test_ping_flood_ends_the_connection(served: Served) -> None:
+    raw = RawClient(served.server.addresses[0])
+    for i in range(40):
+        raw.h2.ping(i.to_bytes(8, "big"))
+    raw.push()
+    end = raw.until(lambda e: isinstance(e, h2.events.ConnectionTerminated))
+    assert end is None or end.error_code == 11
+
+
+@pytest.mark.parametrize(
+    ("body", "code"),
+    [
+        (message(1 << 30), "8"),
+        (message(4, 1) + b"abcd", "12"),
+        (message(4, 7) + b"abcd", "13"),
+    ],
+    ids=["oversized", "compressed", "unknown flag"],
+)
+def test_bad_messages_end_their_stream_alone(served: Served, body: bytes, code: str) -> None:
+    raw = RawClient(served.server.addresses[0])
+    raw.h2.send_headers(1, HEADERS)
+    raw.h2.send_headers(3, HEADERS)
+    raw.h2.send_data(1, body)
+    raw.push()
+    ended = raw.until(lambda e: isinstance(e, (h2.events.TrailersReceived, h2.events.ResponseReceived)))
+    assert ended.stream_id == 1 and dict(ended.headers)["grpc-status"] == code
+    raw.h2.send_data(3, message(2) + b"ok")
+    raw.push()
+    assert raw.until(lambda e: isinstance(e, h2.events.DataReceived)).data == message(2) + b"ok"
+
+
+@pytest.mark.parametrize(
+    ("change", "status"),
+    [(("content-type", "text/html"), "415"), ((":method", "GET"), "405"), (("grpc-timeout", "soon"), "200")],
+)
+def test_requests_that_are_not_grpc(served: Served, change: tuple[str, str], status: str) -> None:
+    raw = RawClient(served.server.addresses[0])
+    headers = [change if k == change[0] else (k, v) for k, v in HEADERS]
+    raw.h2.send_headers(1, headers if change in headers else [*headers, change], end_stream=True)
+    raw.push()
+    got = dict(raw.until(lambda e: isinstance(e, h2.events.ResponseReceived)).headers)
+    assert got[":status"] == status and got.get("grpc-status", "13") == "13"
+    assert served.ran == 0
+
+
+def test_garbage_and_silence_are_closed(served: Served) -> None:
+    host, _, port = served.server.addresses[0].rpartition(":")
+    loud = socket.create_connection((host, int(port)))
+    loud.sendall(b"GET / HTTP/1.1\r\n\r\n" * 10)
+    silent = socket.create_connection((host, int(port)))
+    with gevent.Timeout(WAIT):
+        while loud.recv(1000):
+            pass
+        while silent.recv(1000):
+            pass
+    assert not served.server.connections
+
+
+def test_connections_past_the_bound_are_closed(served: Served) -> None:
+    raws = [RawClient(served.server.addresses[0]) for _ in range(4)]
+    with gevent.Timeout(WAIT):
+        while len(served.server.connections) < 4:
+            gevent.sleep(0.01)
+        extra = socket.create_connection(raws[0].sock.getpeername())
+        assert extra.recv(1) == b""
+    assert served.server.refused == 1
+
+
+def test_a_reader_that_does_not_read_bounds_the_sender(served: Served) -> None:
+    raw = RawClient(served.server.addresses[0])
+    raw.h2.send_headers(1, [h if h[0] != ":path" else (":path", "/t.T/Flood") for h in HEADERS])
+    raw.h2.send_data(1, message(1) + b"x")
+    raw.push()
+    with gevent.Timeout(WAIT):
+        while served.refused_sends < 3:
+            gevent.sleep(0.01)
+    (connection,) = served.server.connections
+    (stream,) = connection.streams.values()
+    assert stream.out_bytes <= LIMITS.send_bytes + 1005
+
+
+@pytest.mark.parametrize("size", [1000, 30_000])
+def test_a_handler_that_does_not_read_bounds_the_client(served: Served, size: int) -> None:
+    """Also where each message comes in two frames, so that much of it is unfinished when it comes."""
+    channel = Channel(served.server.addresses[0], LIMITS)
+    call = channel.call("/t.T/Hold", same, same)
+    sent = 0
+    while call.try_send(b"y" * size):
+        sent += 1
+        if sent % 20 == 0 or size > 16_384:
+            gevent.sleep(0.02)
+    assert 60_000 < sent * (size + 5) < 65_535 + LIMITS.send_bytes + 3 * size
+    (connection,) = served.server.connections
+    (stream,) = connection.streams.values()
+    assert stream.inbox_bytes + stream.reader.unfinished <= 65_535 + size
+    other = channel.call("/t.T/Chat", same, same)  # other streams are unharmed
+    other.send(b"hi")
+    assert other.recv(WAIT) == b"hi"
+    channel.close()
+
+
+class RawServer:
+    """Answers one connection by a script."""
+
+    def __init__(self, script: Callable[[Any, Any], None]) -> None:
+        self.listener = socket.socket()
+        self.listener.bind(("127.0.0.1", 0))
+        self.listener.listen()
+        self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
+        self.script = script
+        gevent.spawn(self.run)
+
+    def run(self) -> None:
+        sock, _ = self.listener.accept()
+        conn = h2.connection.H2Connection(h2.config.H2Configuration(client_side=False))
+        conn.initiate_connection()
+        sock.sendall(conn.data_to_send())
+        self.script(sock, conn)
+
+
+def streams_of(sock: Any, conn: Any, count: int) -> None:
+    opened = 0
+    while opened < count:
+        opened += sum(isinstance(e, h2.events.RequestReceived) for e in conn.receive_data(sock.recv(65536)))
+    sock.sendall(conn.data_to_send())
+
+
+def outcome(call: Any) -> RpcError:
+    with pytest.raises(RpcError) as caught:
+        call.recv(WAIT)
+    return caught.value
+
+
+def test_refused_stream_proves_that_nothing_ran() -> None:
+    def script(sock: Any, conn: Any) -> None:
+        streams_of(sock, conn, 2)
+        conn.reset_stream(1, 7)
+        conn.reset_stream(3, 2)
+        sock.sendall(conn.data_to_send())
+        gevent.sleep(WAIT)
+
+    channel = Channel(RawServer(script).address)
+    first, second = (channel.call("/x", same, same) for _ in range(2))
+    assert outcome(first).never_ran and outcome(first).code is Code.UNAVAILABLE
+    assert not outcome(second).never_ran and outcome(second).code is Code.INTERNAL
+
+
+@pytest.mark.parametrize("split", [1, 5, 9, 12, 1000])
+def test_goaway_proves_what_lies_above_its_last_stream(split: int) -> None:
+    def script(sock: Any, conn: Any) -> None:
+        streams_of(sock, conn, 3)
+        conn.send_headers(1, [(":status", "200"), ("content-type", "application/grpc")])
+        data = conn.data_to_send() + GoAwayFrame(0, last_stream_id=3, additional_data=b"leaving").serialize()
+        for at in range(0, len(data), split):  # the frame comes in pieces
+            sock.sendall(data[at : at + split])
+            gevent.sleep(0.001)
+        conn.send_data(1, message(2) + b"ok")  # a stream below it goes on
+        conn.send_headers(1, [("grpc-status", "0")], end_stream=True)
+        sock.sendall(conn.data_to_send())
+        gevent.sleep(0.1)
+        sock.close()
+
+    channel = Channel(RawServer(script).address)
+    calls = [channel.call("/x", same, same) for _ in range(3)]
+    assert outcome(calls[2]).never_ran
+    assert calls[0].recv(WAIT) == b"ok" and calls[0].recv(WAIT) is None
+    assert not outcome(calls[1]).never_ran  # cut later: it may have run
+    with pytest.raises(RpcError) as caught:
+        channel.connection.open("/x", (), None)
+    assert caught.value.never_ran
+
+
+def test_messages_that_never_left_are_counted() -> None:
+    """A cut tells the messages that may have arrived from those that cannot have."""
+
+    def script(sock: Any, conn: Any) -> None:
+        streams_of(sock, conn, 1)
+        gevent.sleep(0.3)  # no window is given back: 65,535 bytes and not one more can leave
+        sock.close()
+
+    channel = Channel(RawServer(script).address)
+    call = channel.call("/x", same, same)
+    for _ in range(10):
+        call.send(b"m" * 9_995)
+    assert outcome(call).code is Code.UNAVAILABLE
+    assert call.unsent() == 3 and call.stream.handed == 7
+
+
+def test_nobody_listens_and_nobody_answers() -> None:
+    taken = socket.socket()
+    taken.bind(("127.0.0.1", 0))
+    address = f"127.0.0.1:{taken.getsockname()[1]}"
+    with pytest.raises(RpcError) as caught:
+        Channel(address, dial_timeout_s=1).connect()
+    assert caught.value.never_ran and caught.value.code is Code.UNAVAILABLE
+    taken.listen()  # accepts and hangs
+    began = time.monotonic()
+    with pytest.raises(RpcError) as caught:
+        Channel(address, dial_timeout_s=0.3).connect()
+    assert caught.value.never_ran and time.monotonic() - began < WAIT
+
+
+def test_half_open_peer_is_found_by_ping() -> None:
+    def script(sock: Any, conn: Any) -> None:
+        streams_of(sock, conn, 1)
+        gevent.sleep(WAIT)  # alive as a socket, dead as a peer
+
+    channel = Channel(RawServer(script).address, Limits(keepalive_s=0.1, keepalive_timeout_s=0.1))
+    error = outcome(channel.call("/x", same, same))
+    assert "keepalive" in error.message and not error.never_ran
+
+
+def test_server_leaves_gracefully(served: Served) -> None:
+    channel = Channel(served.server.addresses[0])
+    call = channel.call("/t.T/Chat", same, same)
+    call.send(b"a")
+    assert call.recv(WAIT) == b"a"
+    left = gevent.spawn(served.server.stop, WAIT)
+    with gevent.Timeout(WAIT):
+        while channel.connection.peer_goaway is None:
+            gevent.sleep(0.01)
+    call.send(b"b")
+    assert call.recv(WAIT) == b"b"
+    call.close_send()
+    assert call.recv(WAIT) is None
+    assert left.get(timeout=WAIT) is True
+
+
+@pytest.mark.parametrize("text", ["", "5", "S", "123456789S", "5s", "-1S", "1.5S", "5 S"])
+def test_bad_timeouts(text: str) -> None:
+    with pytest.raises(ValueError):
+        decode_timeout(text)
+
+
+@pytest.mark.parametrize("seconds", [1e-9, 0.001, 0.25, 3.0, 86_400.0, 1e8])
+def test_timeouts_never_shrink(seconds: float) -> None:
+    assert seconds <= decode_timeout(encode_timeout(seconds)) <= seconds * 1.01 + 1e-9
+
+
+def test_texts_and_messages_in_pieces() -> None:
+    for text in ("", "plain", "100 %", "ä☃\n\0", "%41"):
+        assert decode_text(encode_text(text)) == text
+    reader = MessageReader(10)
+    data = message(3) + b"abc" + message(0) + message(1) + b"d"
+    assert [m for i in range(len(data)) for m in reader.feed(data[i : i + 1])] == [b"abc", b"", b"d"]
+    assert reader.unfinished == 0
