--- /dev/null
+++ b/stairplank/__main__.py
@@ -0,0 +1,5 @@
+"""``python -m stairplank`` is the command ``stairplank``."""
+
+from .cli import main
+
+main()
--- /dev/null
+++ b/stairplank/cli/__init__.py
@@ -0,0 +1,5 @@
+"""The command line: ``stairplank --help``."""
+
+from .main import main
+
+__all__ = ["main"]
--- /dev/null
+++ b/stairplank/cli/main.py
@@ -0,0 +1,217 @@
+"""Sub-commands. Exit codes: 0 well, 1 not well (a breach, an unclean end), 2 bad input."""
+
+from __future__ import annotations
+
+import os
+import signal
+import sys
+from collections.abc import Callable
+from typing import Any
+
+import click
+
+from ..settings import SettingsError
+from . import logs
+
+
+class Group(click.Group):
+    """Settings errors are bad input: each on a line of its own, exit code 2."""
+
+    def invoke(self, ctx: click.Context) -> Any:
+        try:
+            return super().invoke(ctx)
+        except SettingsError as error:
+            for problem in error.problems:
+                click.echo(f"error: {problem}", err=True)
+            ctx.exit(2)
+
+
+@click.group(cls=Group, context_settings={"help_option_names": ["-h", "--help"]})
+@click.version_option(package_name="stairplank")
+@click.option("--log-format", type=click.Choice(["text", "json"]), default="text", show_default=True)
+@click.option("--log-level", type=click.Choice(logs.LEVELS), default="info", show_default=True)
+@click.option("--end-with-stdin", is_flag=True, help="End when standard input ends, as its starter does.")
+def main(log_format: str, log_level: str, end_with_stdin: bool) -> None:
+    """A cluster scheduler of which many planners run side by side, sharing nothing."""
+    logs.set_up(log_format, log_level)
+    if end_with_stdin:
+        _end_with_stdin()
+
+
+def _end_with_stdin() -> None:
+    """Children end with their starter, also when that was killed outright."""
+    import gevent
+    from gevent.os import nb_read
+
+    def watch() -> None:
+        from gevent.os import make_nonblocking
+
+        make_nonblocking(0)
+        while nb_read(0, 100):
+            pass
+        os._exit(3)
+
+    gevent.spawn(watch)
+
+
+def _serve(start: Callable[[], None], end: Callable[[], None]) -> None:
+    """Start, wait for a signal to end, end."""
+    import gevent
+    from gevent.event import Event
+
+    done = Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        gevent.signal_handler(number, done.set)
+    start()
+    done.wait()
+    end()
+
+
+FILE = click.Path(exists=False, dir_okay=False)
+
+
+@main.command()
+@click.argument("file", type=FILE)
+def planner(file: str) -> None:
+    """Run a planner by its settings FILE until SIGTERM."""
+    from ..settings import load_planner
+
+    config = load_planner(file)
+    from ..planner.daemon import Daemon
+
+    try:
+        daemon = Daemon(config)
+    except OSError as error:
+        raise click.ClickException(f"cannot listen: {error}") from None
+    sys.exit(daemon.run())
+
+
+@main.command()
+@click.argument("file", type=FILE)
+def node(file: str) -> None:
+    """Run the stand-in nodes of FILE."""
+    from ..standin.config import load_farm
+
+    config = load_farm(file)
+    from ..standin.farm import Farm
+
+    farm = Farm(config)
+    _serve(farm.start, lambda: None)
+
+
+@main.command()
+@click.argument("file", type=FILE)
+def directory(file: str) -> None:
+    """Run the stand-in node list of FILE."""
+    from ..standin.config import load_listing
+
+    config = load_listing(file)
+    from ..standin.listing import Listing
+
+    _serve(Listing(config).start, lambda: None)
+
+
+@main.command()
+@click.argument("file", type=FILE)
+def owners(file: str) -> None:
+    """Run the stand-in owners of FILE; their report is written at the end."""
+    from ..standin.config import load_crowd
+
+    config = load_crowd(file)
+    from ..standin.crowd import Crowd
+
+    crowd = Crowd(config)
+    _serve(crowd.start, crowd.write_report)
+
+
+CHECKS = ("planner", "node", "directory", "owners", "scenario")
+
+
+@main.command()
+@click.argument("file", type=FILE)
+@click.option("--as", "kind", type=click.Choice(CHECKS), default="planner", show_default=True)
+def check(file: str, kind: str) -> None:
+    """Check a settings FILE and say what is wrong with it, all of it."""
+    from ..settings import load_planner
+
+    loaders: dict[str, Callable[[str], object]] = {"planner": load_planner}
+    if kind != "planner":
+        from ..standin import config
+
+        loaders |= {"node": config.load_farm, "directory": config.load_listing, "owners": config.load_crowd}
+        if kind == "scenario":
+            from ..rehearsal.scenario import load_scenario
+
+            loaders["scenario"] = load_scenario
+    loaders[kind](file)
+    click.echo(f"{file}: good")
+
+
+SHIPPED = ("first-bad-day",)
+
+
+def _shipped(name: str) -> str:
+    """A shipped scenario by its name, or the path as it is."""
+    from importlib import resources
+
+    if name in SHIPPED:
+        return str(resources.files("stairplank") / "scenarios" / name)
+    return name
+
+
+@main.command()
+@click.argument("scenario", default="first-bad-day")
+@click.option("--seed", type=click.IntRange(0), help="In place of the scenario's own.")
+@click.option(
+    "--report", type=click.Path(file_okay=False), help="Folder for report.txt, report.json, chart.png."
+)
+@click.option("--work", type=click.Path(file_okay=False), help="Folder for the capture, files and logs.")
+def rehearse(scenario: str, seed: int | None, report: str | None, work: str | None) -> None:
+    """Rehearse a SCENARIO on real processes; exit 0 without breach, 1 with, 2 for bad input.
+
+    SCENARIO is a file, or the name of a shipped one. By default the shipped first bad day is played.
+    """
+    from ..rehearsal import report as reports
+    from ..rehearsal.run import Rehearsal, RehearsalError, work_folder
+    from ..rehearsal.scenario import load_scenario
+
+    loaded = load_scenario(_shipped(scenario), seed)
+    folder = work_folder(work)
+    title = f"{scenario} (seed {loaded.seed})"
+    click.echo(f"rehearsing {title}; work in {folder}", err=True)
+    try:
+        result = Rehearsal(loaded, folder, lambda line: click.echo(line, err=True)).run()
+    except RehearsalError as error:
+        raise click.ClickException(str(error)) from None
+    click.echo(reports.text(result, title), nl=False)
+    if report is not None:
+        from pathlib import Path
+
+        reports.write(result, Path(report), title)
+        click.echo(f"report in {report}", err=True)
+    bad = bool(result.checker.breaches or result.problems or result.unclean)
+    sys.exit(1 if bad else 0)
+
+
+@main.command()
+@click.argument("capture", type=FILE)
+def judge(capture: str) -> None:
+    """Judge a CAPTURE by the five rules; exit 0 without breach, 1 with, 2 where it cannot be read."""
+    from pathlib import Path
+
+    from ..rehearsal import report as reports
+    from ..rehearsal.capture import CaptureError
+    from ..rehearsal.run import judge as judge_file
+
+    try:
+        checker, problems, _ = judge_file(Path(capture))
+    except (OSError, CaptureError) as error:
+        click.echo(f"error: {error}", err=True)
+        sys.exit(2)
+    click.echo(reports.verdict(checker, problems))
+    click.echo(reports.counts_text(checker))
+    for breach in checker.breaches:
+        click.echo("\n" + reports.breach_text(breach, checker.facts.get("begin_us", checker.first_at)))
+    for problem in problems:
+        click.echo(problem)
+    sys.exit(1 if checker.breaches or problems else 0)
--- /dev/null
+++ b/stairplank/planner/admission.py
@@ -0,0 +1,68 @@
+"""What is taken at the door: valid asks, within bounds. Decides without I/O, clock or state of its own."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+
+from .. import interface as api
+from .events import Rejection, TaskSpec
+
+BUSY_RETRY_US = 1_000_000
+UNSETTLED_RETRY_US = 1_000_000
+LEAVING_RETRY_US = 200_000
+NUMBER_MOST = 2**64 - 1
+
+
+@dataclass(frozen=True, slots=True)
+class Bounds:
+    """Most of each at one planner."""
+
+    open_tasks: int  # taken and not answered
+    owner_open: int  # of one owner
+    attempts: int  # tasks running, adopted or under way at nodes
+    wait_us: int
+
+
+def invalid(
+    task: TaskSpec, wait_us: int, bounds: Bounds, settings: api.Settings, tenants: tuple[str, ...]
+) -> Rejection | None:
+    """The first field at fault."""
+
+    def bad(field: str, message: str) -> Rejection:
+        return Rejection("INVALID_ARGUMENT", field, message)
+
+    if not 0 < task.key <= NUMBER_MOST:
+        return bad("task.key", "a number above 0 is needed")
+    if all(task.task_class != c.name for c in settings.classes):
+        known = ", ".join(c.name for c in settings.classes)
+        return bad("task.task_class", f"no class {task.task_class[:100]!r}; known: {known}")
+    if task.tenant and task.tenant not in tenants:
+        return bad("task.tenant", f"no tenant {task.tenant[:100]!r}")
+    if not 0 < task.service <= NUMBER_MOST:
+        return bad("task.service", "a number above 0 is needed")
+    for field, value in (("task.cores", task.cores), ("task.memory", task.memory)):
+        if not math.isfinite(value) or value <= 0:
+            return bad(field, f"{value} is not a finite number above 0")
+    if not 0 < wait_us <= bounds.wait_us:
+        return bad("wait_us", f"{wait_us} is not within 1 to {bounds.wait_us}")
+    sort = next(c for c in settings.classes if c.name == task.task_class)
+    kinds = settings.kinds if sort.node_kind is None else (settings.kinds[sort.node_kind],)
+    if all(task.cores > k.cores * settings.cores_limit for k in kinds):
+        return bad("task.cores", f"{task.cores:g} is more than any node of this room accepts")
+    if all(task.memory > k.memory * settings.memory_limit for k in kinds):
+        return bad("task.memory", f"{task.memory:g} is more than any node of this room accepts")
+    return None
+
+
+def no_room(open_tasks: int, owner_open: int, attempts: int, bounds: Bounds) -> Rejection | None:
+    """Whether a table is at its bound."""
+    if open_tasks >= bounds.open_tasks:
+        what = f"{open_tasks} tasks wait for their outcome here"
+    elif owner_open >= bounds.owner_open:
+        what = f"{owner_open} tasks of this owner wait for their outcome here"
+    elif attempts >= bounds.attempts:
+        what = f"{attempts} tasks are looked after here"
+    else:
+        return None
+    return Rejection("RESOURCE_EXHAUSTED", "", what, BUSY_RETRY_US)
--- /dev/null
+++ b/stairplank/planner/convert.py
@@ -0,0 +1,159 @@
+"""Between the messages of stairplank.v1 and the core's events and actions. Translates and decides nothing."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from .. import interface as api
+from ..proto import common_pb2, directory_pb2, node_pb2, placement_pb2
+from ..rpc.status import Code
+from . import events as ev
+from .events import AttemptId
+
+_STATUS = {
+    directory_pb2.NodeEntry.STATE_GONE: api.NodeStatus.GONE,
+    directory_pb2.NodeEntry.STATE_DRAINING: api.NodeStatus.DRAINING,
+    directory_pb2.NodeEntry.STATE_READY: api.NodeStatus.READY,
+}
+_HOW = {
+    node_pb2.OfferEvent.Ended.HOW_FINISHED: api.Result.FINISHED,
+    node_pb2.OfferEvent.Ended.HOW_STOPPED: api.Result.CANCELLED,
+}
+_WHY = {
+    ev.StopWhy.WITHDRAWN: node_pb2.OfferRequest.Stop.WHY_WITHDRAWN,
+    ev.StopWhy.MOVED: node_pb2.OfferRequest.Stop.WHY_MOVED,
+    ev.StopWhy.LEFT_OVER: node_pb2.OfferRequest.Stop.WHY_LEFT_OVER,
+}
+
+
+def spec_from(task: Any) -> ev.TaskSpec:
+    return ev.TaskSpec(
+        task.owner,
+        task.key,
+        task.task_class,
+        task.tenant,
+        task.service,
+        task.cores,
+        task.memory,
+        task.life_us,
+        task.again,
+    )
+
+
+def task_to(spec: ev.TaskSpec) -> Any:
+    return common_pb2.Task(
+        owner=spec.owner,
+        key=spec.key,
+        task_class=spec.task_class,
+        tenant=spec.tenant,
+        service=spec.service,
+        cores=spec.cores,
+        memory=spec.memory,
+        life_us=spec.life_us,
+        again=spec.again,
+    )
+
+
+def id_from(id: Any) -> AttemptId:
+    return AttemptId(id.life, id.placing, id.attempt)
+
+
+def id_to(id: AttemptId) -> Any:
+    return common_pb2.AttemptId(life=id.life, placing=id.placing, attempt=id.attempt)
+
+
+def reason_from(reason: int) -> api.Reason:
+    return api.Reason(reason) if 0 <= reason <= 7 else api.Reason.UNTOLD
+
+
+def list_from(message: Any) -> ev.ListTold:
+    """Entries without a known state, or with an id that is none, are passed over."""
+    nodes = tuple(
+        ev.ListedNode(
+            e.id,
+            e.name,
+            tuple(e.addresses),
+            e.zone,
+            e.rack,
+            e.kind,
+            _STATUS[e.state],
+            e.free_cores,
+            e.free_memory,
+            e.started_unix_us,
+        )
+        for e in message.nodes
+        if e.state in _STATUS
+    )
+    return ev.ListTold(message.revision, message.since, message.full, nodes, message.now_unix_us)
+
+
+def node_event(node: int, message: Any) -> ev.Event | None:
+    """None for what a later version of the protocol may add, and for the hello."""
+    match message.WhichOneof("kind"):
+        case "accepted":
+            return ev.NodeAccepted(node, id_from(message.accepted.id))
+        case "running":
+            return ev.NodeRunning(node, id_from(message.running.id))
+        case "refused":
+            return ev.NodeRefused(node, id_from(message.refused.id), reason_from(message.refused.reason))
+        case "error":
+            return ev.NodeError(node, id_from(message.error.id))
+        case "ended":
+            ended = message.ended
+            result = _HOW.get(ended.how, api.Result.LOST)
+            return ev.NodeEnded(node, id_from(ended.id), result, reason_from(ended.reason))
+        case "usage":
+            u = message.usage
+            return ev.NodeUsage(node, id_from(u.id), u.cores, u.memory, u.served_share, u.node_memory_share)
+        case "draining":
+            return ev.NodeDraining(node)
+    return None
+
+
+def held_from(node: int, message: Any) -> ev.HeldTold:
+    tasks = tuple(ev.HeldTask(id_from(t.id), spec_from(t.task), t.running) for t in message.tasks)
+    return ev.HeldTold(node, message.started_unix_us, tasks)
+
+
+def offer_to(offer: ev.SendOffer, sort: api.TaskClass) -> Any:
+    return node_pb2.OfferRequest(
+        offer=node_pb2.OfferRequest.Offer(
+            id=id_to(offer.id),
+            task=task_to(offer.task),
+            wait_us=offer.wait_us,
+            priority=sort.priority,
+            window_us=sort.window_us,
+            once=sort.effect is api.Effect.ONCE,
+        )
+    )
+
+
+def stop_to(stop: ev.SendStop) -> Any:
+    return node_pb2.OfferRequest(stop=node_pb2.OfferRequest.Stop(id=id_to(stop.id), why=_WHY[stop.why]))
+
+
+def word_to(word: ev.OwnerWord) -> Any:
+    event = placement_pb2.PlaceEvent
+    match word:
+        case ev.Rejected(ask, r):
+            code = int(Code[r.code])
+            return event(
+                rejected=event.Rejected(
+                    ask=ask, code=code, field=r.field, message=r.message, retry_after_us=r.retry_after_us
+                )
+            )
+        case ev.Taken(ask, placing):
+            return event(taken=event.Taken(ask=ask, placing=placing))
+        case ev.Offered(ask, node, attempt):
+            return event(offered=event.Offered(ask=ask, node=node, attempt=attempt))
+        case ev.PlacedAt(ask, node, attempt, latency):
+            return event(placed=event.Placed(ask=ask, node=node, attempt=attempt, latency_us=latency))
+        case ev.RefusedTask(ask, after, reason):
+            return event(refused=event.Refused(ask=ask, retry_after_us=after, reason=int(reason)))  # type: ignore[arg-type]
+        case ev.FailedTask(ask, may_run):
+            return event(failed=event.Failed(ask=ask, may_run=may_run))
+        case ev.EndedTask(ask, key, finished, reason):
+            return event(ended=event.Ended(ask=ask, key=key, finished=finished, reason=int(reason)))  # type: ignore[arg-type]
+        case ev.Found(ask, key, node):
+            return event(found=event.Found(ask=ask, key=key, node=node))
+    raise TypeError(f"not a word: {word!r}")
--- /dev/null
+++ b/stairplank/planner/daemon.py
@@ -0,0 +1,455 @@
+"""The planner's process: sockets, greenlets, the clock. It feeds the core and carries out what it returns.
+
+One greenlet an owner's stream reads it, one a node's link, one waits on the clock, one watches the node list.
+None of them blocks while the core works, so the core needs no locks. A stalled process is felt as one late
+batch: what came meanwhile is read in order, and what fell due is done before it.
+"""
+
+from __future__ import annotations
+
+import os
+import signal
+import time
+from collections import deque
+from typing import Any
+
+import gevent
+import structlog
+from gevent.event import Event as Flag
+
+from ..proto import (
+    caller,
+    directory_pb2,
+    methods,
+    node_pb2,
+    path,
+    placement_pb2,
+)
+from ..rpc import Channel, Code, Limits, RpcError, Server, ServerCall
+from ..rpc.standard import Health, Reflection
+from ..settings import PlannerConfig
+from . import convert
+from . import events as ev
+from .admission import Bounds
+from .core import Core, CoreConfig
+from .events import AttemptId
+
+PLACEMENT = placement_pb2.DESCRIPTOR.services_by_name["Placement"]
+NODE = node_pb2.DESCRIPTOR.services_by_name["Node"]
+DIRECTORY = directory_pb2.DESCRIPTOR.services_by_name["Directory"]
+HELLO_S = 5.0  # an owner's stream must say whose it is by then
+WORK_BATCH = 64  # messages of one stream taken before others get a turn
+
+
+def now_us() -> int:
+    """The machine's monotonic clock in whole microseconds."""
+    return time.monotonic_ns() // 1000
+
+
+class NodeLink:
+    """The one link to a node: dials its addresses in order, speaks Offers on the first that answers."""
+
+    def __init__(self, daemon: Daemon, node: int, addresses: tuple[str, ...]) -> None:
+        self.daemon = daemon
+        self.node = node
+        self.addresses = addresses
+        self.channel: Channel | None = None
+        self.call: Any = None
+        self.sent: deque[tuple[int, AttemptId | None]] = deque()  # number of the message; the offer's attempt
+        self.closing = False
+        self.greenlet = gevent.spawn(self._run)
+
+    def _run(self) -> None:
+        welcome = None
+        for target in self.addresses:
+            try:
+                welcome = self._dial(target)
+                break
+            except RpcError as error:
+                self.daemon.log.debug("dial failed", node=self.node, address=target, error=str(error))
+                self._close()
+        if welcome is None or self.closing:
+            self._close()
+            self.daemon.link_over(self, ev.DialFailed(self.node))
+            return
+        self.daemon.feed(ev.LinkUp(self.node, welcome.started_unix_us, welcome.draining))
+        try:
+            self._read()
+        except RpcError as error:
+            self.daemon.log.info("link broken", node=self.node, error=str(error))
+        unsent = self.unsent()
+        self._close()
+        self.daemon.link_over(self, ev.LinkDown(self.node, unsent))
+
+    def _dial(self, target: str) -> Any:
+        config = self.daemon.config
+        limits = Limits(
+            keepalive_s=config.keepalive_us[0] / 1e6,
+            keepalive_timeout_s=config.keepalive_us[1] / 1e6,
+            message_bytes=config.message_most,
+            send_bytes=config.send_buffer,
+        )
+        timeout = config.dial_timeout_us / 1e6
+        self.channel = Channel(target, limits, timeout)
+        self.call = caller(self.channel, NODE, "Offers")
+        hello = node_pb2.OfferRequest.Hello(planner=self.daemon.position, life=self.daemon.life)
+        self.call.send(node_pb2.OfferRequest(hello=hello))
+        self.sent.append((0, None))
+        first = self.call.recv(timeout)
+        if first is None or first.WhichOneof("kind") != "welcome":
+            raise RpcError(Code.FAILED_PRECONDITION, "the node did not say who it is", never_ran=True)
+        if first.welcome.node != self.node:
+            text = f"node {first.welcome.node} answers at the address of node {self.node}"
+            raise RpcError(Code.FAILED_PRECONDITION, text, never_ran=True)
+        return first.welcome
+
+    def _read(self) -> None:
+        taken = 0
+        while (message := self.call.recv()) is not None:
+            event = convert.node_event(self.node, message)
+            if event is not None:
+                self.daemon.feed(event)
+            taken += 1
+            if taken % WORK_BATCH == 0:
+                gevent.sleep(0)
+
+    def send(self, message: Any, id: AttemptId | None) -> bool:
+        """Queue a message. False where the node has not read for so long that the buffer is full."""
+        try:
+            if not self.call.try_send(message):
+                return False
+        except RpcError:
+            pass  # the link is breaking: what this message would have said counts as unsent
+        stream = self.call.stream
+        self.sent.append((stream.queued - 1 if stream.error is None else 1 << 62, id))
+        while self.sent and self.sent[0][0] < stream.handed:
+            self.sent.popleft()
+        return True
+
+    def unsent(self) -> frozenset[AttemptId]:
+        """Attempts of which not one byte was handed to the connection."""
+        if self.call is None:
+            return frozenset()
+        handed = self.call.stream.handed
+        return frozenset(id for number, id in self.sent if id is not None and number >= handed)
+
+    def hang_up(self) -> None:
+        self.closing = True
+        if self.channel is not None:
+            self.channel.close()
+
+    def _close(self) -> None:
+        if self.channel is not None:
+            self.channel.close()
+
+
+class Daemon:
+    """One planner on real sockets."""
+
+    def __init__(self, config: PlannerConfig) -> None:
+        self.config = config
+        self.position = config.settings.position
+        self.life = int.from_bytes(os.urandom(8), "big") >> 1 or 1
+        self.log = structlog.get_logger("planner").bind(planner=self.position)
+        seed = config.seed if config.seed is not None else self.life
+        core_config = CoreConfig(
+            bounds=Bounds(config.open_most, config.owner_open_most, config.running_most, config.wait_most_us),
+            tenants=tuple(name for name, _ in config.room.tenants),
+            zones=config.room.zones,
+            dial_timeout_us=config.dial_timeout_us,
+            dial_retry_us=config.dial_retry_us,
+            dial_retry_most_us=config.dial_retry_most_us,
+            link_grace_us=config.link_grace_us,
+            stop_grace_us=config.stop_grace_us,
+            nodes_most=config.nodes_most,
+        )
+        self.core = Core(config.settings, core_config, self.life, seed)
+        self.health = Health((PLACEMENT.full_name,))
+        names = (PLACEMENT.full_name, "grpc.health.v1.Health", "grpc.reflection.v1.ServerReflection")
+        served = {
+            **methods(PLACEMENT, Place=self._place),
+            **self.health.methods(),
+            **Reflection(names).methods(),
+        }
+        limits = Limits(
+            message_bytes=config.message_most,
+            send_bytes=config.send_buffer,
+            keepalive_s=config.keepalive_us[0] / 1e6,
+            keepalive_timeout_s=config.keepalive_us[1] / 1e6,
+            connections=config.owners_most * 2,
+        )
+        self.server = Server(config.listen, served, limits)
+        self.links: dict[int, NodeLink] = {}
+        self.owners: dict[int, ServerCall] = {}
+        self.dropped_words = 0
+        self.core_ns = 0  # time spent in the core and the module
+        self._session = 0
+        self._pending: deque[ev.Event] = deque()
+        self._working = False
+        self._rearm = Flag()
+        self._armed: int | None = None
+        self._watch: Any = None
+        self._stop = Flag()
+
+    # Life
+
+    def run(self) -> int:
+        """Serve until SIGTERM or SIGINT; the exit code."""
+        handlers = [gevent.signal_handler(s, self.stop) for s in (signal.SIGTERM, signal.SIGINT)]
+        self.start()
+        self._stop.wait()
+        clean = self._leave()
+        for handler in handlers:
+            handler.cancel()
+        return 0 if clean else 1
+
+    def start(self) -> None:
+        self.server.start()
+        self.log.info("planner starts", listen=list(self.server.addresses), life=self.life)
+        self._carry_out(self.core.start(now_us()))
+        gevent.spawn(self._clock)
+
+    def stop(self) -> None:
+        self._stop.set()
+
+    def _leave(self) -> bool:
+        """Take nothing new, answer what is owed, close. Bounded by stop-grace and two seconds."""
+        self.log.info("planner leaves", owed=self.core.open_tasks)
+        self.health.set(False)
+        self.server.leave()
+        self.feed(ev.StopAsked())
+        until = now_us() + self.config.stop_grace_us + 1_000_000
+        while not self.core.finished and now_us() < until:
+            gevent.sleep(0.01)
+        for call in list(self.owners.values()):
+            call.finish(Code.UNAVAILABLE, "this planner has left")
+        clean = self.server.stop(1.0)
+        for link in list(self.links.values()):
+            link.hang_up()
+        self.log.info("planner has left", owed=self.core.open_tasks, **self.core.counts)
+        return self.core.finished and clean
+
+    # The core
+
+    def feed(self, event: ev.Event) -> None:
+        """Give the core an event and do what it says. Events that arise meanwhile wait their turn."""
+        self._pending.append(event)
+        if self._working:
+            return
+        self._working = True
+        try:
+            while self._pending:
+                began = time.perf_counter_ns()
+                actions = self.core.handle(now_us(), self._pending.popleft())
+                self.core_ns += time.perf_counter_ns() - began
+                self._carry_out(actions)
+        finally:
+            self._working = False
+        due = self.core.next_due()
+        if due is not None and (self._armed is None or due < self._armed):
+            self._rearm.set()
+
+    def _clock(self) -> None:
+        """Wake the core when something is due."""
+        while True:
+            due = self.core.next_due()
+            self._armed = due
+            self._rearm.clear()
+            left = None if due is None else max(0, due - now_us()) / 1e6
+            if not self._rearm.wait(left):
+                self.feed(ev.Due())
+
+    def _carry_out(self, actions: list[ev.Action]) -> None:
+        for action in actions:
+            match action:
+                case ev.Tell():
+                    self._tell(action)
+                case ev.SendOffer():
+                    self._send_offer(action)
+                case ev.SendStop():
+                    link = self.links.get(action.node)
+                    if link is not None:
+                        self._send(link, convert.stop_to(action), None)
+                case ev.Dial():
+                    self.links[action.node] = NodeLink(self, action.node, action.addresses)
+                case ev.HangUp():
+                    if action.node in self.links:
+                        self.links[action.node].hang_up()
+                case ev.AskHeld():
+                    gevent.spawn(self._ask_held, action.node)
+                case ev.ProbeNode():
+                    gevent.spawn(self._probe, action.node)
+                case ev.StartWatch():
+                    if self._watch is not None:
+                        self._watch.kill(block=False)
+                        self._watch = None
+                    if action.active:
+                        self._watch = gevent.spawn(self._watch_list, action.revision)
+                case ev.FetchWhole():
+                    gevent.spawn(self._fetch_list)
+                case ev.Report():
+                    self.log.info(action.event, **action.fields)
+
+    # Owners
+
+    def _place(self, call: ServerCall) -> None:
+        """Handler of Placement.Place."""
+        if len(self.owners) >= self.config.owners_most:
+            raise RpcError(Code.RESOURCE_EXHAUSTED, f"{len(self.owners)} owners are here already")
+        if self.server.leaving:
+            raise RpcError(Code.UNAVAILABLE, "this planner is leaving")
+        first = call.recv(HELLO_S)
+        if first is None or first.WhichOneof("kind") != "hello":
+            raise RpcError(Code.INVALID_ARGUMENT, "kind: the first message must be hello")
+        owner = first.hello.owner
+        if not 0 < len(owner.encode()) <= 100:
+            raise RpcError(Code.INVALID_ARGUMENT, "hello.owner: a name of 1 to 100 bytes is needed")
+        self._session += 1
+        session = self._session
+        event = placement_pb2.PlaceEvent
+        call.send(event(welcome=event.Welcome(planner=self.position, life=self.life)))
+        self.owners[session] = call
+        self.feed(ev.OwnerCame(session, owner))
+        try:
+            self._read_owner(call, session, owner)
+            while session in self.owners and self.core.sessions[session].asks:
+                gevent.sleep(0.02)  # no more asks come, but what was asked for still runs
+        finally:
+            if self.owners.pop(session, None) is not None:
+                self.feed(ev.OwnerLeft(session))
+
+    def _read_owner(self, call: ServerCall, session: int, owner: str) -> None:
+        taken = 0
+        while (message := call.recv()) is not None:
+            match message.WhichOneof("kind"):
+                case "ask":
+                    ask = message.ask
+                    if ask.task.owner and ask.task.owner != owner:
+                        self._reject(session, ask.ask, "task.owner", "is not the stream's owner")
+                    else:
+                        ask.task.owner = owner
+                        self.feed(ev.Asked(session, ask.ask, convert.spec_from(ask.task), ask.wait_us))
+                case "withdraw":
+                    self.feed(ev.Withdrawn(session, message.withdraw.ask, message.withdraw.key))
+                case "hello":
+                    raise RpcError(Code.INVALID_ARGUMENT, "hello: only the first message may be one")
+                case _:
+                    raise RpcError(Code.INVALID_ARGUMENT, "kind: one of ask, withdraw is needed")
+            taken += 1
+            if taken % WORK_BATCH == 0:
+                gevent.sleep(0)
+
+    def _reject(self, session: int, ask: int, field: str, message: str) -> None:
+        word = ev.Rejected(ask, ev.Rejection("INVALID_ARGUMENT", field, message))
+        self._tell(ev.Tell(session, word))
+
+    def _tell(self, action: ev.Tell) -> None:
+        call = self.owners.get(action.session)
+        if call is None:
+            return
+        full = call.stream.out_bytes > self.config.send_buffer // 2
+        if full and isinstance(action.word, ev.Offered):
+            self.dropped_words += 1  # the first to go where an owner is slow: no outcome hangs on it
+            return
+        try:
+            sent = call.try_send(convert.word_to(action.word))
+        except RpcError:
+            return  # it is leaving: its handler ends the session
+        if not sent:
+            # Danger: an owner that does not read would hold memory without end.
+            self.log.warning("owner does not read", session=action.session)
+            del self.owners[action.session]
+            call.finish(Code.RESOURCE_EXHAUSTED, "too much of what was told has not been read", drop=True)
+            call.stream.fail(RpcError(Code.RESOURCE_EXHAUSTED, "the owner does not read"))
+            self._pending.append(ev.OwnerLeft(action.session))
+            if not self._working:
+                self.feed(ev.Due())
+
+    # Nodes
+
+    def _send_offer(self, action: ev.SendOffer) -> None:
+        link = self.links.get(action.node)
+        if link is not None:
+            sort = self.config.settings.classes[action.class_index]
+            self._send(link, convert.offer_to(action, sort), action.id)
+
+    def _send(self, link: NodeLink, message: Any, id: AttemptId | None) -> None:
+        if not link.send(message, id):
+            self.log.warning("node does not read", node=link.node)
+            if id is not None:
+                link.sent.append((1 << 62, id))
+            link.hang_up()
+
+    def link_over(self, link: NodeLink, event: ev.Event) -> None:
+        if self.links.get(link.node) is link:
+            del self.links[link.node]
+        self.feed(event)
+
+    def _unary(self, node: int, method: str, request: Any, answer: Any, timeout_us: int) -> Any:
+        link = self.links.get(node)
+        if link is None or link.channel is None:
+            raise RpcError(Code.UNAVAILABLE, "no link", never_ran=True)
+        return link.channel.unary(path(NODE, method), request, answer.FromString, timeout_s=timeout_us / 1e6)
+
+    def _ask_held(self, node: int) -> None:
+        request = node_pb2.HeldRequest(planner=self.position)
+        try:
+            told = self._unary(node, "Held", request, node_pb2.HeldResponse, self.config.link_grace_us + 1)
+        except RpcError as error:
+            self.log.info("held not told", node=node, error=str(error))
+            self.feed(ev.HeldFailed(node))
+        else:
+            self.feed(convert.held_from(node, told))
+
+    def _probe(self, node: int) -> None:
+        began = now_us()
+        request = node_pb2.ProbeRequest(planner=self.position)
+        try:
+            told = self._unary(node, "Probe", request, node_pb2.ProbeResponse, self.config.probe_timeout_us)
+        except RpcError:
+            self.feed(ev.ProbeTold(node, False, now_us() - began))
+            return
+        report = (told.report.free_cores, told.report.free_memory, told.report.util)
+        self.feed(ev.ProbeTold(node, True, now_us() - began, report))
+
+    # The node list
+
+    def _directory(self) -> Channel:
+        limits = Limits(
+            keepalive_s=self.config.keepalive_us[0] / 1e6,
+            keepalive_timeout_s=self.config.keepalive_us[1] / 1e6,
+        )
+        return Channel(self.config.directory, limits, self.config.list_silence_us / 2e6)
+
+    def _watch_list(self, revision: int) -> None:
+        channel = self._directory()
+        silence = self.config.list_silence_us / 1e6
+        try:
+            call = caller(channel, DIRECTORY, "Watch")
+            call.send(directory_pb2.WatchRequest(planner=self.position, revision=revision))
+            call.close_send()
+            while (message := call.recv(silence)) is not None:
+                self.feed(convert.list_from(message))
+        except RpcError as error:
+            self.log.info("node list out of reach", error=str(error))
+        finally:
+            channel.close()
+        if self._watch is gevent.getcurrent():
+            self._watch = None
+            self.feed(ev.ListFailed())
+
+    def _fetch_list(self) -> None:
+        channel = self._directory()
+        try:
+            request = directory_pb2.ListRequest(planner=self.position)
+            timeout = self.config.list_silence_us / 1e6
+            told = channel.unary(
+                path(DIRECTORY, "List"), request, directory_pb2.NodeList.FromString, timeout_s=timeout
+            )
+        except RpcError as error:
+            self.log.info("node list out of reach", error=str(error))
+            self.feed(ev.ListFailed())
+        else:
+            self.feed(convert.list_from(told))
+        finally:
+            channel.close()
--- /dev/null
+++ b/stairplank/planner/events.py
@@ -0,0 +1,372 @@
+"""What the core is fed and what it asks for. Times are microseconds on the planner's own clock."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import NamedTuple
+
+from .. import interface as api
+
+
+@dataclass(frozen=True, slots=True)
+class TaskSpec:
+    """A task as its owner describes it; names are not looked up yet."""
+
+    owner: str
+    key: int
+    task_class: str
+    tenant: str
+    service: int
+    cores: float
+    memory: float
+    life_us: int
+    again: bool
+
+
+class AttemptId(NamedTuple):
+    """Names an attempt on the links: the planner's life, its number for the placing, the attempt's number."""
+
+    life: int
+    placing: int
+    attempt: int
+
+
+class StopWhy(Enum):
+    WITHDRAWN = "withdrawn"
+    MOVED = "moved"
+    LEFT_OVER = "left over"
+
+
+# Events
+
+
+@dataclass(frozen=True, slots=True)
+class OwnerCame:
+    session: int
+    owner: str
+
+
+@dataclass(frozen=True, slots=True)
+class OwnerLeft:
+    session: int
+
+
+@dataclass(frozen=True, slots=True)
+class Asked:
+    session: int
+    ask: int
+    task: TaskSpec
+    wait_us: int
+
+
+@dataclass(frozen=True, slots=True)
+class Withdrawn:
+    """The owner wants the task no longer; by its ask, or, where that is 0, by its key."""
+
+    session: int
+    ask: int
+    key: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class ListedNode:
+    """A line of the node list as the directory sends it."""
+
+    id: int
+    name: str
+    addresses: tuple[str, ...]
+    zone: str
+    rack: str
+    kind: str
+    status: api.NodeStatus
+    free_cores: float
+    free_memory: float
+    started_unix_us: int
+
+
+@dataclass(frozen=True, slots=True)
+class ListTold:
+    revision: int
+    since: int  # the revision that changes build on
+    full: bool
+    nodes: tuple[ListedNode, ...]
+    now_unix_us: int
+
+
+@dataclass(frozen=True, slots=True)
+class ListFailed:
+    """A call to the directory failed or a subscription broke."""
+
+
+@dataclass(frozen=True, slots=True)
+class LinkUp:
+    """A node has said who it is."""
+
+    node: int
+    started_unix_us: int
+    draining: bool
+
+
+@dataclass(frozen=True, slots=True)
+class DialFailed:
+    """No link came about: nothing was sent."""
+
+    node: int
+
+
+@dataclass(frozen=True, slots=True)
+class LinkDown:
+    """A link broke; ``unsent`` names the attempts whose offers provably never left."""
+
+    node: int
+    unsent: frozenset[AttemptId] = frozenset()
+
+
+@dataclass(frozen=True, slots=True)
+class NodeAccepted:
+    node: int
+    id: AttemptId
+
+
+@dataclass(frozen=True, slots=True)
+class NodeRunning:
+    node: int
+    id: AttemptId
+
+
+@dataclass(frozen=True, slots=True)
+class NodeRefused:
+    node: int
+    id: AttemptId
+    reason: api.Reason
+
+
+@dataclass(frozen=True, slots=True)
+class NodeError:
+    node: int
+    id: AttemptId
+
+
+@dataclass(frozen=True, slots=True)
+class NodeEnded:
+    node: int
+    id: AttemptId
+    result: api.Result  # FINISHED, CANCELLED or LOST
+    reason: api.Reason
+
+
+@dataclass(frozen=True, slots=True)
+class NodeUsage:
+    node: int
+    id: AttemptId
+    cores: float
+    memory: float
+    served_share: float
+    node_memory_share: float
+
+
+@dataclass(frozen=True, slots=True)
+class NodeDraining:
+    node: int
+
+
+@dataclass(frozen=True, slots=True)
+class HeldTask:
+    id: AttemptId
+    task: TaskSpec
+    running: bool
+
+
+@dataclass(frozen=True, slots=True)
+class HeldTold:
+    node: int
+    started_unix_us: int
+    tasks: tuple[HeldTask, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class HeldFailed:
+    node: int
+
+
+@dataclass(frozen=True, slots=True)
+class ProbeTold:
+    node: int
+    ok: bool
+    latency_us: int
+    report: tuple[float, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class StopAsked:
+    """The planner is to leave: nothing new is taken, what is owed is answered."""
+
+
+@dataclass(frozen=True, slots=True)
+class Due:
+    """Time has passed; what is due is done."""
+
+
+Event = (
+    OwnerCame
+    | OwnerLeft
+    | Asked
+    | Withdrawn
+    | ListTold
+    | ListFailed
+    | LinkUp
+    | DialFailed
+    | LinkDown
+    | NodeAccepted
+    | NodeRunning
+    | NodeRefused
+    | NodeError
+    | NodeEnded
+    | NodeUsage
+    | NodeDraining
+    | HeldTold
+    | HeldFailed
+    | ProbeTold
+    | StopAsked
+    | Due
+)
+
+
+# What is told to owners
+
+
+@dataclass(frozen=True, slots=True)
+class Rejection:
+    """Not taken. ``code`` is a gRPC status code by name."""
+
+    code: str
+    field: str
+    message: str
+    retry_after_us: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Rejected:
+    ask: int
+    rejection: Rejection
+
+
+@dataclass(frozen=True, slots=True)
+class Taken:
+    ask: int
+    placing: int
+
+
+@dataclass(frozen=True, slots=True)
+class Offered:
+    ask: int
+    node: int
+    attempt: int
+
+
+@dataclass(frozen=True, slots=True)
+class PlacedAt:
+    ask: int
+    node: int
+    attempt: int
+    latency_us: int
+
+
+@dataclass(frozen=True, slots=True)
+class RefusedTask:
+    ask: int
+    retry_after_us: int
+    reason: api.Reason
+
+
+@dataclass(frozen=True, slots=True)
+class FailedTask:
+    ask: int
+    may_run: bool
+
+
+@dataclass(frozen=True, slots=True)
+class EndedTask:
+    ask: int
+    key: int
+    finished: bool
+    reason: api.Reason
+
+
+@dataclass(frozen=True, slots=True)
+class Found:
+    ask: int
+    key: int
+    node: int
+
+
+OwnerWord = Rejected | Taken | Offered | PlacedAt | RefusedTask | FailedTask | EndedTask | Found
+
+
+# Actions
+
+
+@dataclass(frozen=True, slots=True)
+class SendOffer:
+    node: int
+    id: AttemptId
+    task: TaskSpec
+    wait_us: int
+    class_index: int
+
+
+@dataclass(frozen=True, slots=True)
+class SendStop:
+    node: int
+    id: AttemptId
+    why: StopWhy
+
+
+@dataclass(frozen=True, slots=True)
+class Dial:
+    node: int
+    addresses: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class HangUp:
+    node: int
+
+
+@dataclass(frozen=True, slots=True)
+class AskHeld:
+    node: int
+
+
+@dataclass(frozen=True, slots=True)
+class ProbeNode:
+    node: int
+
+
+@dataclass(frozen=True, slots=True)
+class StartWatch:
+    active: bool
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class FetchWhole:
+    pass
+
+
+@dataclass(frozen=True, slots=True)
+class Tell:
+    session: int
+    word: OwnerWord
+
+
+@dataclass(frozen=True, slots=True)
+class Report:
+    """For the log."""
+
+    event: str
+    fields: dict[str, object]
+
+
+Action = SendOffer | SendStop | Dial | HangUp | AskHeld | ProbeNode | StartWatch | FetchWhole | Tell | Report
--- /dev/null
+++ b/stairplank/planner/links.py
@@ -0,0 +1,56 @@
+"""When a node is dialled, and what a link is at the moment. Decides without I/O or clock."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass, field
+from enum import Enum
+
+from .events import AttemptId
+
+
+class State(Enum):
+    DOWN = "down"
+    DIALLING = "dialling"
+    UP = "up"
+
+
+@dataclass(slots=True)
+class Link:
+    """One planner's one link to a node."""
+
+    node: int
+    addresses: tuple[str, ...]
+    state: State = State.DOWN
+    listed: bool = True  # the list names it; else it is kept only for what it still holds
+    fails: int = 0
+    dial_at: int = 0  # not before
+    started_unix_us: int = -1  # the node's life as it said itself; -1: never heard
+    draining: bool = False  # by its own word, in this life
+    unsettled: set[AttemptId] = field(default_factory=set)  # sent before the link broke, fate unknown
+    held_at: int = 0  # when it was last asked what it holds
+    lost_at: int = 0  # when the link broke; 0: it is up, or nothing was under way
+
+
+class Redial:
+    """Waits between dials: doubling from the first to the most, each drawn from its upper half."""
+
+    def __init__(self, first_us: int, most_us: int, rng: random.Random) -> None:
+        self._first = first_us
+        self._most = most_us
+        self._rng = rng
+
+    def after_failure(self, link: Link, now: int) -> None:
+        """The node did not answer; the wait grows."""
+        wait = min(self._first << min(link.fails, 16), self._most)
+        link.fails += 1
+        link.dial_at = now + wait // 2 + self._rng.randrange(wait // 2 + 1)
+
+    def after_loss(self, link: Link, now: int) -> None:
+        """A link that was up broke. Danger: all planners come back to a restarted node at once."""
+        link.fails = 0
+        link.dial_at = now + self._rng.randrange(self._first + 1)
+
+    def wanted_now(self, link: Link, now: int) -> bool:
+        """An offer waits: dial at once, unless the last two dials failed and the next is not yet due."""
+        return link.state is State.DOWN and (link.fails <= 1 or now >= link.dial_at)
--- /dev/null
+++ b/stairplank/rehearsal/checker.py
@@ -0,0 +1,568 @@
+"""The five rules, judged from the messages of a capture and the figures in its head; nothing else is read.
+
+Order between links is the order of the relay's reading. What a planner does because of a node's word or a
+list is recorded after that word, so such comparisons are exact. A time-out that a planner keeps for itself is
+seen only by the time that its offer stated; there, and only there, ``TOLERANCE_US`` covers delays of the
+relay.
+docs/design/running-planner.md lists every clause.
+"""
+
+from __future__ import annotations
+
+from collections import defaultdict, deque
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from typing import Any
+
+from ..proto import directory_pb2
+from .decode import Message
+
+TOLERANCE_US = 250_000
+READY, DRAINING, GONE = "ready", "draining", "gone"
+_STATES = {
+    directory_pb2.NodeEntry.STATE_READY: READY,
+    directory_pb2.NodeEntry.STATE_DRAINING: DRAINING,
+    directory_pb2.NodeEntry.STATE_GONE: GONE,
+}
+
+Id = tuple[int, int, int]  # life, placing, attempt
+
+
+@dataclass(frozen=True)
+class Breach:
+    """One broken clause with what shows it."""
+
+    rule: int  # 1 to 5; 0: the record itself does not add up
+    clause: str
+    text: str
+    at: int
+    task: str = ""
+    node: int | None = None
+    evidence: tuple[str, ...] = ()
+
+
+@dataclass
+class Sent:
+    """One offer as it passed."""
+
+    id: Id
+    message: Message
+    node: int
+    planner: int
+    at: int
+    until: int  # by the time-out that it stated
+    service: int
+    task_class: str
+    task: tuple[str, int]
+    ended_at: int | None = None  # the node's last word, a stop, or the end of its link
+    proven: bool = False  # the node said that it never ran
+    running: bool = False
+    word: str = ""
+
+
+@dataclass
+class Record:
+    """One placing: from the ask to what became of it."""
+
+    life: int
+    placing: int
+    ask: Message | None = None
+    wait_us: int = 0
+    task: tuple[str, int] = ("", 0)
+    task_class: str = ""
+    taken: Message | None = None
+    outcome: Message | None = None
+    what: str = ""
+    released: int | None = None  # withdrawn, or its owner's stream ended
+    sent: list[Sent] = field(default_factory=list)
+
+    @property
+    def deadline(self) -> int | None:
+        return None if self.ask is None else self.ask.at + self.wait_us
+
+
+@dataclass
+class Counts:
+    asks: int = 0
+    taken: int = 0
+    rejected: int = 0
+    placed: int = 0
+    refused: int = 0
+    failed: int = 0
+    found: int = 0
+    finished: int = 0
+    lost: int = 0
+    withdrawn: int = 0
+    offers: int = 0
+    offers_refused: int = 0
+    offers_errors: int = 0
+    offers_silent: int = 0
+    side_by_side: int = 0  # copies of a task that must not run twice, running at once
+    messages: int = 0
+
+
+def _name(task: tuple[str, int]) -> str:
+    return f"{task[0]}/{task[1]}"
+
+
+class Checker:
+    """Feed it messages in order, then ``end`` it."""
+
+    def __init__(self, facts: dict[str, Any]) -> None:
+        self.facts = facts
+        self.classes = {c["name"]: c for c in facts["classes"]}
+        self.breaches: list[Breach] = []
+        self.counts = Counts()
+        self.first_at = 0
+        self.last_at = 0
+        self.records: dict[tuple[int, int], Record] = {}
+        self.asks: dict[tuple[int, int, int], Record] = {}  # link, stream, ask
+        self.place_life: dict[tuple[int, int], int] = {}
+        self.offer_life: dict[tuple[int, int], tuple[int, int]] = {}  # planner and life
+        self.offers: dict[tuple[int, Id], Sent] = {}  # by node
+        self.by_link: dict[int, list[Sent]] = defaultdict(list)
+        self.list_planner: dict[tuple[int, int], int] = {}
+        self.listed: dict[int, dict[int, tuple[str, int, Message]]] = defaultdict(dict)
+        self.own_word: dict[tuple[int, int], tuple[int, Message]] = {}  # life, node: draining since
+        self.place_of: dict[int, tuple[str, str]] = {}  # zone and rack
+        self.lives: dict[int, tuple[int, int]] = {}  # node: its life, and when it began here
+        self.told_life: dict[tuple[int, int], set[int]] = defaultdict(set)  # node, life: planners told
+        self.pushes: dict[tuple[int, int], deque[tuple[int, int, Message]]] = defaultdict(deque)
+        self.pushed_over: set[tuple[int, int]] = set()
+        self.here: dict[int, dict[tuple[int, Id], tuple[int, str]]] = defaultdict(dict)  # life: what counts
+        self.runs: dict[tuple[str, int], dict[tuple[int, Id], Sent]] = defaultdict(dict)
+        self.timeline: list[tuple[int, str, str]] = []  # at, what, class
+
+    def feed(self, messages: Iterable[Message]) -> None:
+        for message in messages:
+            self.first_at = self.first_at or message.at
+            self.last_at = max(self.last_at, message.at)
+            self.counts.messages += 1
+            if message.body is None:
+                self._ended(message)
+                continue
+            method = message.path.rpartition("/")[2]
+            handler = _BY_METHOD.get((method, message.from_dialler))
+            if handler is not None:
+                handler(self, message)
+
+    def _breach(
+        self,
+        rule: int,
+        clause: str,
+        text: str,
+        message: Message,
+        task: tuple[str, int] | None = None,
+        node: int | None = None,
+        others: Iterable[Message | None] = (),
+    ) -> None:
+        shown = [m for m in others if m is not None] + [message]
+        evidence = tuple(f"{(m.at - self.first_at) / 1e6:.6f}s {m.where()}" for m in shown)
+        name = _name(task) if task else ""
+        self.breaches.append(Breach(rule, clause, text, message.at, name, node, evidence))
+
+    # Owners' streams
+
+    def _place_request(self, m: Message) -> None:
+        kind = m.body.WhichOneof("kind")
+        if kind == "ask":
+            self.counts.asks += 1
+            ask = m.body.ask
+            record = Record(0, 0, m, ask.wait_us, (ask.task.owner, ask.task.key), ask.task.task_class)
+            self.asks[m.link, m.stream, ask.ask] = record
+        elif kind == "withdraw":
+            found = self.asks.get((m.link, m.stream, m.body.withdraw.ask))
+            if found is not None and found.released is None:
+                found.released = m.at
+                self.counts.withdrawn += 1
+
+    def _place_event(self, m: Message) -> None:
+        kind = m.body.WhichOneof("kind")
+        if kind == "welcome":
+            self.place_life[m.link, m.stream] = m.body.welcome.life
+            return
+        body = getattr(m.body, kind)
+        record = self.asks.get((m.link, m.stream, body.ask))
+        if kind == "found":
+            self.counts.found += 1
+            if record is not None and record.taken is None:
+                record.released = m.at  # not taken: it runs already
+            return
+        if kind == "ended":
+            self.counts.finished += body.finished
+            self.counts.lost += not body.finished
+            self.timeline.append((m.at, "finished" if body.finished else "lost", ""))
+            if record is not None and record.what not in ("placed", "") and record.released is None:
+                text = f"told as ended after it was {record.what}"
+                self._breach(1, "one outcome", text, m, record.task, others=[record.outcome])
+            return
+        if record is None:
+            self._breach(1, "one outcome", f"{kind} for an ask that was never made", m)
+            return
+        if kind == "rejected":
+            self.counts.rejected += 1
+            if record.taken is not None:
+                text = "rejected after it was taken"
+                self._breach(1, "one outcome", text, m, record.task, others=[record.taken])
+            del self.asks[m.link, m.stream, body.ask]
+        elif kind == "taken":
+            self._taken(m, record, body.placing)
+        elif kind in ("placed", "refused", "failed"):
+            self._outcome(m, record, kind, body)
+
+    def _taken(self, m: Message, record: Record, placing: int) -> None:
+        self.counts.taken += 1
+        record.life = self.place_life.get((m.link, m.stream), 0)
+        record.placing, record.taken = placing, m
+        early = self.records.get((record.life, placing))
+        if early is not None:
+            if early.taken is not None:
+                self._breach(1, "one outcome", "two asks were taken as one placing", m, record.task)
+            record.sent = early.sent  # offers that the relay read first
+        self.records[record.life, placing] = record
+
+    def _outcome(self, m: Message, record: Record, kind: str, body: Any) -> None:
+        setattr(self.counts, kind, getattr(self.counts, kind) + 1)
+        self.timeline.append((m.at, kind, record.task_class))
+        assert record.ask is not None
+        shown = [record.ask, record.outcome]
+        if record.taken is None:
+            self._breach(1, "one outcome", f"{kind} before it was taken", m, record.task, others=shown)
+        if record.outcome is not None:
+            text = f"{kind} after it was {record.what}: two outcomes"
+            self._breach(1, "one outcome", text, m, record.task, others=shown)
+            return
+        record.outcome, record.what = m, kind
+        late = m.at - (record.ask.at + record.wait_us)
+        if late > self.facts["answer_slack_us"] and record.released is None:
+            text = f"{kind} {late / 1e3:.1f} ms after its owner gave up"
+            self._breach(1, "in time", text, m, record.task, others=shown)
+        if kind == "refused":
+            self._refusal(m, record)
+        if kind == "placed":
+            self._binding(m, record, body)
+
+    def _refusal(self, m: Message, record: Record) -> None:
+        """Rule 2: a refusal promises that asking again does no harm."""
+        sort = self.classes.get(record.task_class)
+        if sort is None or sort["effect"] == "repeatable":
+            return
+        if sort["effect"] == "keyed" and sort["scope"] == "all":
+            return
+        for sent in record.sent:
+            if not sent.proven:
+                text = f"refused though attempt {sent.id[2]} at node {sent.node} may have run"
+                self._breach(2, "refusal", text, m, record.task, sent.node, [sent.message])
+                return
+
+    def _binding(self, m: Message, record: Record, body: Any) -> None:
+        """A binding must rest on an offer to that node that the node has not turned down."""
+        for sent in record.sent:
+            if sent.id[2] == body.attempt and sent.node == body.node:
+                if sent.proven:
+                    text = f"bound to node {body.node}, which turned the offer down"
+                    self._breach(1, "binding", text, m, record.task, body.node, [sent.message])
+                return
+        text = f"bound to node {body.node} though no such offer passed"
+        self._breach(1, "binding", text, m, record.task, body.node)
+
+    # Nodes' streams
+
+    def _offer_request(self, m: Message) -> None:
+        kind = m.body.WhichOneof("kind")
+        if kind == "hello":
+            hello = m.body.hello
+            self.offer_life[m.link, m.stream] = (hello.planner, hello.life)
+        elif kind == "offer":
+            self._offer(m, m.body.offer)
+        elif kind == "stop":
+            id = _id(m.body.stop.id)
+            sent = self.offers.get((int(m.to.split()[1]), id))
+            if sent is not None and sent.ended_at is None and not sent.running:
+                sent.ended_at = m.at  # called off; it may still run
+                sent.word = "stopped"
+
+    def _offer(self, m: Message, offer: Any) -> None:
+        self.counts.offers += 1
+        planner, life = self.offer_life.get((m.link, m.stream), (-1, 0))
+        node = int(m.to.split()[1])
+        id = _id(offer.id)
+        task = (offer.task.owner, offer.task.key)
+        sent = Sent(
+            id, m, node, planner, m.at, m.at + offer.wait_us, offer.task.service, offer.task.task_class, task
+        )
+        if id[0] != life:
+            text = "an offer in the name of another life of the planner"
+            self._breach(0, "attempts", text, m, task, node)
+        if (node, id) in self.offers:
+            self._breach(2, "one attempt", "the same attempt was offered twice", m, task, node)
+            return
+        record = self.records.get(id[:2])
+        if record is None:
+            record = self.records[id[:2]] = Record(id[0], id[1], task=task, task_class=sent.task_class)
+        self._after_outcome(m, record, sent)
+        self._again(m, record, sent)
+        self._drain(m, sent, life)
+        self._cold(m, sent)
+        record.sent.append(sent)
+        self.offers[node, id] = sent
+        self.by_link[m.link].append(sent)
+        self._spread(m, sent, life)
+
+    def _after_outcome(self, m: Message, record: Record, sent: Sent) -> None:
+        if record.outcome is not None and m.at > record.outcome.at:
+            text = f"offered after its outcome ({record.what})"
+            self._breach(1, "nothing after", text, m, sent.task, sent.node, [record.outcome])
+        deadline = record.deadline
+        if deadline is not None and m.at > deadline + self.facts["answer_slack_us"]:
+            text = f"offered {(m.at - deadline) / 1e3:.1f} ms after its owner gave up"
+            self._breach(1, "nothing after", text, m, sent.task, sent.node, [record.ask])
+        if len(record.sent) >= self.facts["max_attempts"]:
+            text = f"attempt {len(record.sent) + 1} of at most {self.facts['max_attempts']}"
+            self._breach(2, "attempts", text, m, sent.task, sent.node)
+
+    def _again(self, m: Message, record: Record, sent: Sent) -> None:
+        """Rule 2: never two attempts out; after one that may have run only as the class allows."""
+        sort = self.classes.get(sent.task_class)
+        risk = None
+        for earlier in record.sent:
+            over = earlier.ended_at is not None or m.at >= earlier.until - TOLERANCE_US
+            if not over:
+                text = (
+                    f"offered to node {sent.node} while attempt {earlier.id[2]} is out at node {earlier.node}"
+                )
+                self._breach(2, "one attempt", text, m, sent.task, sent.node, [earlier.message])
+            if not earlier.proven and risk is None:
+                risk = earlier
+        if sort is None or risk is None or sort["effect"] == "repeatable":
+            return
+        if sort["effect"] == "once":
+            text = f"offered again though attempt {risk.id[2]} at node {risk.node} may have run"
+            self._breach(2, "once", text, m, sent.task, sent.node, [risk.message])
+            return
+        if m.at > risk.at + sort["window_us"]:
+            text = f"offered again {(m.at - risk.at) / 1e6:.3f} s after an attempt that may have run"
+            self._breach(2, "window", text, m, sent.task, sent.node, [risk.message])
+        if self._place_name(sort["scope"], sent.node) != self._place_name(sort["scope"], risk.node):
+            text = (
+                f"offered to node {sent.node}, outside the group of node {risk.node}, where it may have run"
+            )
+            self._breach(2, "group", text, m, sent.task, sent.node, [risk.message])
+
+    def _place_name(self, scope: str, node: int) -> object:
+        zone, rack = self.place_of.get(node, ("", f"?{node}"))
+        return {"node": node, "group": rack, "zone": zone, "all": "", "none": ""}[scope]
+
+    def _drain(self, m: Message, sent: Sent, life: int) -> None:
+        """Rule 3."""
+        grace = self.facts["drain_grace_us"]
+        state, since, word = self.listed[sent.planner].get(sent.node, (READY, 0, m))
+        if state != READY and m.at > since + grace:
+            text = (
+                f"offered {(m.at - since) / 1e3:.1f} ms after the list told that node {sent.node} is {state}"
+            )
+            self._breach(3, "list", text, m, sent.task, sent.node, [word])
+        own = self.own_word.get((life, sent.node))
+        if own is not None and m.at > own[0] + grace:
+            text = f"offered {(m.at - own[0]) / 1e3:.1f} ms after node {sent.node} said that it drains"
+            self._breach(3, "own word", text, m, sent.task, sent.node, [own[1]])
+
+    def _cold(self, m: Message, sent: Sent) -> None:
+        """Rule 4: within any window, offers of all planners together."""
+        started, began = self.lives.get(sent.node, (0, 0))
+        facts = self.facts
+        if not started or m.at - began >= facts["cold_us"]:
+            return
+        life = (sent.node, started)
+        pushes = self.pushes[life]
+        pushes.append((m.at, sent.planner, m))
+        while pushes and pushes[0][0] < m.at - facts["fall_us"]:
+            pushes.popleft()
+        done = max(0, pushes[0][0] - began) / max(1, facts["cold_us"])
+        pace = facts["cold_share"] + (1 - facts["cold_share"]) * done
+        rate = facts["starts_per_s"].get(str(sent.node), 0.0) * pace
+        borne = max(facts["fresh_offers"], facts["fall_multiple"] * rate * facts["fall_us"] / 1e6)
+        told = sum(1 for _, planner, _ in pushes if planner in self.told_life[life])
+        if len(pushes) > borne and told * 3 >= len(pushes) * 2 and life not in self.pushed_over:
+            self.pushed_over.add(life)
+            span = facts["fall_us"] / 1e6
+            text = f"{len(pushes)} offers within {span:g} s to cold node {sent.node}, {borne:.1f} are borne"
+            self._breach(4, "pushed over", text, m, sent.task, sent.node, [p[2] for p in list(pushes)[:3]])
+
+    def _spread(self, m: Message, sent: Sent, life: int) -> None:
+        """Rule 5: attempts out, placed and adopted tasks of this life, this offer included."""
+        sort = self.classes.get(sent.task_class)
+        self.here[life][sent.node, sent.id] = (sent.service, sent.task_class)
+        if sort is None or sort["spread"] == "none":
+            return
+        place = self._place_name(sort["spread"], sent.node)
+        count = 0
+        for (node, id), (service, _) in self.here[life].items():
+            if service != sent.service or self._place_name(sort["spread"], node) != place:
+                continue
+            other = self.offers.get((node, id))
+            if (
+                other is not None
+                and other is not sent
+                and not other.running
+                and m.at >= other.until - TOLERANCE_US
+            ):
+                continue  # its time-out has passed
+            count += 1
+        if count > sort["spread_most"]:
+            most = sort["spread_most"]
+            text = f"{count} of service {sent.service} in {sort['spread']} {place}, at most {most}"
+            self._breach(5, sort["spread"], text, m, sent.task, sent.node)
+
+    def _offer_event(self, m: Message) -> None:
+        kind = m.body.WhichOneof("kind")
+        node = int(m.to.split()[1])
+        planner, life = self.offer_life.get((m.link, m.stream), (-1, 0))
+        if kind == "welcome":
+            welcome = m.body.welcome
+            if welcome.started_unix_us:
+                self.told_life[node, welcome.started_unix_us].add(planner)
+            known = self.own_word.get((life, node))
+            if welcome.draining and known is None:
+                self.own_word[life, node] = (m.at, m)
+            elif not welcome.draining:
+                self.own_word.pop((life, node), None)
+            return
+        if kind == "draining":
+            self.own_word.setdefault((life, node), (m.at, m))
+            return
+        if kind is None or kind == "usage":
+            return
+        id = _id(getattr(m.body, kind).id)
+        sent = self.offers.get((node, id))
+        if sent is None:
+            self._breach(0, "attempts", f"{kind} for an attempt that was never offered", m, node=node)
+            return
+        if kind == "running":
+            self._running(m, sent)
+        elif kind in ("refused", "error", "ended"):
+            self._last_word(m, sent, kind, life)
+
+    def _running(self, m: Message, sent: Sent) -> None:
+        sent.running = True
+        sort = self.classes.get(sent.task_class)
+        if sort is not None and sort["effect"] != "repeatable":
+            others = [s for s in self.runs[sent.task].values() if s is not sent and s.ended_at is None]
+            self.counts.side_by_side += bool(others)
+        self.runs[sent.task][sent.node, sent.id] = sent
+
+    def _last_word(self, m: Message, sent: Sent, kind: str, life: int) -> None:
+        if sent.word in ("refused", "error", "ended"):
+            text = f"{kind} after {sent.word}: two last words on one attempt"
+            self._breach(0, "attempts", text, m, sent.task, sent.node, [sent.message])
+        sent.word = kind
+        sent.ended_at = sent.ended_at or m.at
+        self.counts.offers_refused += kind == "refused"
+        self.counts.offers_errors += kind == "error"
+        if kind == "refused" and not sent.running:
+            sent.proven = True
+        for counted in self.here.values():
+            counted.pop((sent.node, sent.id), None)
+        self.runs[sent.task].pop((sent.node, sent.id), None)
+
+    def _held(self, m: Message) -> None:
+        """What a node holds of a planner's earlier lives counts for its present one."""
+        node = int(m.to.split()[1])
+        life = next((life for (link, _), (_, life) in self.offer_life.items() if link == m.link), None)
+        if life is None:
+            return
+        for task in m.body.tasks:
+            id = _id(task.id)
+            if id[0] != life:
+                self.here[life].setdefault((node, id), (task.task.service, task.task.task_class))
+
+    # The node list
+
+    def _watch_request(self, m: Message) -> None:
+        self.list_planner[m.link, m.stream] = m.body.planner
+
+    def _list_told(self, m: Message) -> None:
+        planner = self.list_planner.get((m.link, m.stream))
+        if planner is None:
+            return
+        known = self.listed[planner]
+        if m.body.full:
+            names = {e.id for e in m.body.nodes}
+            for node in [n for n in known if n not in names]:
+                if known[node][0] != GONE:
+                    known[node] = (GONE, m.at, m)
+        for entry in m.body.nodes:
+            state = _STATES.get(entry.state)
+            if state is None:
+                continue
+            self.place_of[entry.id] = (entry.zone, entry.rack)
+            if entry.started_unix_us:
+                began = m.at - max(0, m.body.now_unix_us - entry.started_unix_us)
+                if self.lives.get(entry.id, (0, 0))[0] < entry.started_unix_us:
+                    self.lives[entry.id] = (entry.started_unix_us, began)
+                self.told_life[entry.id, entry.started_unix_us].add(planner)
+            old = known.get(entry.id)
+            if old is None or old[0] != state:
+                known[entry.id] = (state, m.at, m)
+
+    # Ends
+
+    def _ended(self, m: Message) -> None:
+        """A stream or a link is over: nothing on it will be told any more."""
+        whole = m.end == "closed"
+        if not whole and not (m.end.startswith(("reset", "trailers")) or m.end == "half-closed"):
+            return
+        if m.end == "half-closed":
+            return
+        for key, record in self.asks.items():
+            if key[0] == m.link and (whole or key[1] == m.stream) and record.released is None:
+                record.released = m.at
+        if not m.to.startswith("node"):
+            return
+        for sent in self.by_link.get(m.link, ()):
+            if (whole or sent.message.stream == m.stream) and sent.ended_at is None:
+                sent.ended_at = m.at
+                sent.word = sent.word or "cut"
+                # The planner counts them until it knows better; what it does not know is no breach.
+                for counted in self.here.values():
+                    counted.pop((sent.node, sent.id), None)
+
+    def end(self) -> None:
+        """After the last message: what was owed and never told, and what does not add up."""
+        slack = self.facts["answer_slack_us"]
+        for record in self.asks.values():
+            assert record.ask is not None and record.deadline is not None
+            late = (record.released or self.last_at) > record.deadline + slack
+            if record.outcome is None and late:
+                taken = "taken and never answered" if record.taken else "never answered"
+                self._breach(1, "no task lost", taken, record.ask, record.task, others=[record.taken])
+        for record in self.records.values():
+            if record.taken is None and record.ask is None and record.sent:
+                first = record.sent[0]
+                if not self._owner_cut_near(first.at):
+                    text = "offered though no owner's ask was taken for it"
+                    self._breach(0, "attempts", text, first.message, record.task, first.node)
+        for sent in self.offers.values():
+            if sent.ended_at is None and not sent.running and sent.until + TOLERANCE_US < self.last_at:
+                self.counts.offers_silent += 1
+
+    def _owner_cut_near(self, at: int) -> bool:
+        """Whether an owner's stream ended about then: its 'taken' may have been lost with it."""
+        return any(r.released is not None and abs(r.released - at) < 1_000_000 for r in self.asks.values())
+
+
+def _id(id: Any) -> Id:
+    return (id.life, id.placing, id.attempt)
+
+
+_BY_METHOD = {
+    ("Place", True): Checker._place_request,
+    ("Place", False): Checker._place_event,
+    ("Offers", True): Checker._offer_request,
+    ("Offers", False): Checker._offer_event,
+    ("Held", False): Checker._held,
+    ("Watch", True): Checker._watch_request,
+    ("List", True): Checker._watch_request,
+    ("Watch", False): Checker._list_told,
+    ("List", False): Checker._list_told,
+}
--- /dev/null
+++ b/stairplank/rehearsal/run.py
@@ -0,0 +1,290 @@
+"""Runs a scenario: real planner processes, stand-ins, relays on every link, faults by script, a capture."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+from collections.abc import Callable
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import gevent
+import gevent.subprocess
+
+from ..planner.daemon import now_us
+from ..settings.room import ROOM
+from ..standin.config import LIST, MODEL, OWNERS
+from ..standin.script import Fault
+from . import capture
+from .checker import Checker
+from .decode import messages
+from .relay import Recorder
+from .scenario import PLANNER_KEYS, Scenario, described, lines_for, names
+
+START_S = 15.0  # children must serve by then
+END_S = 20.0  # and have left by then
+
+
+class RehearsalError(Exception):
+    """The rehearsal itself could not be run."""
+
+
+class Child:
+    """A process of the rehearsal. It ends when its standard input does, so also when we are killed."""
+
+    def __init__(self, name: str, command: str, file: Path, log: Path) -> None:
+        self.name = name
+        self.args = [sys.executable, "-m", "stairplank", "--log-format", "json", "--end-with-stdin"]
+        self.args += [command, str(file)]
+        self.log = log
+        self.process: Any = None
+        self.paused = False
+
+    def start(self) -> None:
+        with self.log.open("ab") as log:
+            self.process = gevent.subprocess.Popen(
+                self.args, stdin=subprocess.PIPE, stdout=subprocess.DEVNULL, stderr=log
+            )
+
+    @property
+    def alive(self) -> bool:
+        return self.process is not None and self.process.poll() is None
+
+    def signal(self, number: int) -> None:
+        if self.alive:
+            self.process.send_signal(number)
+
+    def end(self, timeout_s: float) -> int | None:
+        """SIGTERM, then SIGKILL; the exit code, or None where it had to be killed."""
+        if self.process is None:
+            return None
+        self.signal(signal.SIGCONT)
+        self.signal(signal.SIGTERM)
+        try:
+            code: int = self.process.wait(timeout=timeout_s)
+            return code
+        except gevent.subprocess.TimeoutExpired:
+            return None
+        finally:
+            if self.alive:
+                self.process.kill()
+                self.process.wait(timeout=5)
+            self.process.stdin.close()
+
+
+@dataclass
+class Result:
+    """What a rehearsal gave."""
+
+    capture: Path
+    checker: Checker
+    problems: list[str]  # of the record
+    owners: dict[str, Any]
+    script: list[tuple[int, str]]
+    begin_us: int
+    unclean: list[str]  # processes that ended otherwise than they should
+
+
+def judge(path: Path) -> tuple[Checker, list[str], list[tuple[int, str]]]:
+    """Check a capture. Raises CaptureError."""
+    reader = capture.Reader(path)
+    try:
+        checker = Checker(reader.facts)
+        decoder, each = messages(reader)
+        checker.feed(each)
+        checker.end()
+        return checker, decoder.problems, decoder.script
+    finally:
+        reader.close()
+
+
+class Rehearsal:
+    def __init__(self, scenario: Scenario, work: Path, progress: Callable[[str], None]) -> None:
+        self.scenario = scenario
+        self.work = work
+        self.progress = progress
+        self.capture_path = work / "capture"
+        self.children: dict[str, Child] = {}
+        self.begin_us = 0
+        self.ending = False
+        # Unix socket paths are short by nature; a working folder may not be.
+        self.sockets = Path(tempfile.mkdtemp(prefix="sp"))
+
+    # Files of the children
+
+    def _socket(self, name: str) -> str:
+        return f"unix:{self.sockets}/{name}"
+
+    def _write(self, name: str, lines: list[str]) -> Path:
+        path = self.work / f"{name}.conf"
+        path.write_text("\n".join(lines) + "\n")
+        return path
+
+    def _faults(self, *targets: str) -> list[str]:
+        return [f.line() for f in self.scenario.faults if f.target in targets]
+
+    def _prepare(self, recorder: Recorder) -> None:
+        scenario = self.scenario
+        room = lines_for(scenario, names(ROOM), {"class"})
+        common = [f"begin {self.begin_us}", f"seed {scenario.seed}"]
+        real = self._socket("list")
+        listed = recorder.relay("list", real)
+        lines = lines_for(scenario, names(LIST), set())
+        self._child("list", "directory", [*lines, *common, f"listen {real}", *self._faults("list")])
+
+        lines = [*room, *lines_for(scenario, names(MODEL), set()), *common, f"directory {real}"]
+        for node in scenario.nodes:
+            model = node.model
+            here = self._socket(f"n{model.id}")
+            lines += [
+                f"node {model.id} {model.name}",
+                f"  kind {model.kind}",
+                f"  zone {model.zone}",
+                f"  rack {model.rack}",
+                f"  listen {here}",
+                f"  advertise {recorder.relay(f'node {model.id}', here)}",
+                *(["  absent yes"] if node.absent else []),
+                "end",
+            ]
+        self._child("nodes", "node", [*lines, *self._faults("node")])
+
+        owners = [*room, *lines_for(scenario, names(OWNERS), {"demand"}), *common]
+        if scenario.section.one("asks-end") is None:
+            owners.append(f"asks-end {max(1, scenario.lasts_us - scenario.settles_us)}us")
+        for i in range(scenario.planners):
+            here = self._socket(f"p{i}")
+            lines = [*room, *lines_for(scenario, set(PLANNER_KEYS), set())]
+            lines += [f"planner {i} of {scenario.planners}", f"listen {here}", f"directory {listed}"]
+            self._child(f"planner {i}", "planner", lines)
+            owners.append(f"planner {i} {recorder.relay(f'planner {i}', here)}")
+        owners += [f"owner owner-{i}" for i in range(scenario.owners)]
+        owners += [f"report {self.work / 'owners.json'}", *self._faults("owners", "demand")]
+        self._child("owners", "owners", owners)
+
+    def _child(self, name: str, command: str, lines: list[str]) -> None:
+        file = self._write(name.replace(" ", ""), lines)
+        self.children[name] = Child(name, command, file, self.work / f"{name.replace(' ', '')}.log")
+
+    # Running
+
+    def run(self) -> Result:
+        """Raises RehearsalError where a process does not come up or fails on its own."""
+        scenario = self.scenario
+        self.begin_us = now_us() + 3_000_000
+        facts = described(scenario) | {
+            "begin_us": self.begin_us,
+            "scenario": scenario.path,
+            "seed": scenario.seed,
+        }
+        unclean: list[str] = []
+        with self.capture_path.open("wb") as file:
+            recorder = Recorder(capture.Writer(file, facts))
+            try:
+                self._prepare(recorder)
+                for name in ("list", "nodes"):
+                    self.children[name].start()
+                self._await_sockets(["list", *(f"n{n.model.id}" for n in scenario.nodes if not n.absent)])
+                for i in range(scenario.planners):
+                    self.children[f"planner {i}"].start()
+                self._await_sockets([f"p{i}" for i in range(scenario.planners)])
+                self.children["owners"].start()
+                for fault in scenario.faults:
+                    gevent.spawn(self._script, fault, recorder)
+                self._watch_over()
+                self.ending = True
+                self.progress("the day is over: owners leave, then planners")
+                if self.children["owners"].end(END_S) != 0:
+                    unclean.append("owners")
+                for i in range(scenario.planners):
+                    if self.children[f"planner {i}"].end(END_S) != 0:
+                        unclean.append(f"planner {i}")
+            finally:
+                self.ending = True
+                for child in self.children.values():
+                    if child.alive:
+                        child.end(5.0)
+                recorder.close()
+                for path in self.sockets.iterdir():
+                    path.unlink()
+                self.sockets.rmdir()
+        checker, problems, script = judge(self.capture_path)
+        told = self.work / "owners.json"
+        owners = json.loads(told.read_text()) if told.exists() else {}
+        return Result(self.capture_path, checker, problems, owners, script, self.begin_us, unclean)
+
+    def _await_sockets(self, wanted: list[str]) -> None:
+        until = now_us() + START_S * 1e6
+        while not all((self.sockets / name).exists() for name in wanted):
+            for child in self.children.values():
+                if child.process is not None and not child.alive:
+                    raise RehearsalError(f"{child.name} did not start:\n{child.log.read_text()[-2000:]}")
+            if now_us() > until:
+                raise RehearsalError(f"processes did not come up within {START_S:g} s")
+            gevent.sleep(0.02)
+        # The script's zero is fixed in the children's files: a machine that is too slow for it is an error.
+        if now_us() > self.begin_us + 2_000_000:
+            raise RehearsalError("processes came up too late for the script")
+
+    def _watch_over(self) -> None:
+        """Until the day is over; a process that ends on its own ends the rehearsal."""
+        end = self.begin_us + self.scenario.lasts_us
+        shown = 0
+        while now_us() < end:
+            gevent.sleep(0.05)
+            for child in self.children.values():
+                if not child.alive and not getattr(child, "meant", False):
+                    raise RehearsalError(f"{child.name} ended on its own:\n{child.log.read_text()[-2000:]}")
+            second = int((now_us() - self.begin_us) / 5e6)
+            if second > shown:
+                shown = second
+                self.progress(f"{shown * 5:>4} s of {self.scenario.lasts_us / 1e6:g} s")
+
+    def _script(self, fault: Fault, recorder: Recorder) -> None:
+        gevent.sleep(max(0.0, (self.begin_us + fault.at_us - now_us()) / 1e6))
+        if self.ending:
+            return
+        text = fault.line().split(" ", 2)[2]
+        recorder.note(text)
+        self.progress(f"{fault.at_us / 1e6:>6.1f} s: {text}")
+        if fault.target == "planner":
+            for i in fault.which:
+                gevent.spawn(self._planner_fault, fault, i, recorder)
+        elif fault.target == "node" and fault.what == "cut":
+            for i in fault.which:
+                recorder.relays[f"node {i}"].cut()
+        if fault.for_us:
+            gevent.sleep(fault.for_us / 1e6)
+            recorder.note(f"over: {text}")
+
+    def _planner_fault(self, fault: Fault, i: int, recorder: Recorder) -> None:
+        child = self.children[f"planner {i}"]
+        if fault.what == "cut":
+            recorder.relays[f"planner {i}"].cut()
+        elif fault.what == "pause":
+            child.signal(signal.SIGSTOP)
+            gevent.sleep(fault.for_us / 1e6)
+            child.signal(signal.SIGCONT)
+        elif fault.what == "kill":
+            child.meant = True  # type: ignore[attr-defined]
+            child.signal(signal.SIGKILL)
+            child.process.wait(timeout=5)
+            child.process.stdin.close()
+            gevent.sleep(fault.for_us / 1e6)
+            if not self.ending:
+                child.start()
+                gevent.sleep(1.0)
+                child.meant = False  # type: ignore[attr-defined]
+
+
+def work_folder(path: str | None) -> Path:
+    """The folder given, made if need be, or a new one."""
+    if path is None:
+        return Path(tempfile.mkdtemp(prefix="rehearsal-"))
+    folder = Path(path)
+    os.makedirs(folder, exist_ok=True)
+    return folder.resolve()
--- /dev/null
+++ b/stairplank/rehearsal/scenario.py
@@ -0,0 +1,224 @@
+"""A scenario: room, fleet, planners, owners, what goes wrong and when, all under one seed."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass, replace
+from pathlib import Path
+from typing import Any
+
+from ..settings import values as v
+from ..settings.lines import Problem, SettingsError
+from ..settings.room import ROOM, Room, room_from
+from ..settings.schema import Block, Key, Section, load
+from ..standin.config import COMMON, LIST, MODEL, OWNERS, demands_from, faults_from, model_from
+from ..standin.node import NodeModel
+from ..standin.script import Fault
+
+FLEET = Block(
+    "fleet",
+    (v.name,),
+    (
+        Key("kind", (v.name,), True),
+        Key("zone", (v.name,), True),
+        Key("racks", (v.whole(1, 10_000),), True),
+        Key("nodes", (v.whole(1, 10_000),), True),
+        Key("absent", (v.whole(0, 10_000),)),
+    ),
+    True,
+)
+# Keywords of a planner's file that a scenario may set for all its planners.
+PLANNER_KEYS = (
+    "dial-timeout",
+    "dial-retry",
+    "link-grace",
+    "probe-timeout",
+    "list-silence",
+    "stop-grace",
+    "open-most",
+    "running-most",
+    "keepalive",
+)
+SCENARIO: tuple[Key | Block, ...] = (
+    *ROOM,
+    *COMMON,
+    *MODEL,
+    *LIST,
+    *OWNERS,
+    FLEET,
+    Key("planners", (v.whole(1, 1000),), True),
+    Key("owners", (v.whole(1, 1000),)),
+    Key("lasts", (v.positive_duration,), True),
+    Key("settles", (v.positive_duration,)),
+    Key("about", (), rest=v.text),
+    *(Key(name, (), rest=v.text, least_rest=1) for name in PLANNER_KEYS),
+)
+
+
+@dataclass(frozen=True)
+class FleetNode:
+    model: NodeModel
+    absent: bool
+
+
+@dataclass(frozen=True)
+class Scenario:
+    """Times in microseconds."""
+
+    path: str
+    text: str
+    about: str
+    room: Room
+    nodes: tuple[FleetNode, ...]
+    planners: int
+    owners: int
+    seed: int
+    lasts_us: int
+    settles_us: int
+    faults: tuple[Fault, ...]
+    section: Section
+
+
+def load_scenario(path: str | Path, seed: int | None = None) -> Scenario:
+    """Raises SettingsError."""
+    section = load(path, SCENARIO)
+    room = room_from(section)
+    one = section.one
+    seed = seed if seed is not None else one("seed", 1)
+    problems: list[Problem] = []
+    nodes: list[FleetNode] = []
+    for block in section.blocks["fleet"]:
+        (name,) = block.values
+        kind, zone = block.one("kind"), block.one("zone")
+        if kind not in [k.name for k in room.kinds]:
+            problems.append(Problem(block.place("kind"), "kind", f"no kind {kind}"))
+            continue
+        if zone not in room.zones:
+            problems.append(Problem(block.place("zone"), "zone", f"no zone {zone}"))
+            continue
+        count, absent = block.one("nodes"), block.one("absent", 0)
+        for i in range(count + absent):
+            id = len(nodes) + 1
+            rack = f"{name}-{i % block.one('racks')}"
+            model = model_from(room, section, id, f"{name}-{i}", kind, zone, rack)
+            nodes.append(FleetNode(model, i >= count))
+    if problems:
+        raise SettingsError(problems)
+    demands_from(section, room)
+    faults = _drawn(section, faults_from(section), nodes, one("planners"), random.Random(seed ^ 0xFA17))
+    lasts = one("lasts")
+    return Scenario(
+        str(path),
+        Path(path).read_text(),
+        " ".join(
+            section.one("about", ("",)) if isinstance(section.one("about"), tuple) else [one("about", "")]
+        ),
+        room,
+        tuple(nodes),
+        one("planners"),
+        one("owners", 1),
+        seed,
+        lasts,
+        one("settles", 8_000_000),
+        faults,
+        section,
+    )
+
+
+def _drawn(
+    section: Section, faults: tuple[Fault, ...], nodes: list[FleetNode], planners: int, rng: random.Random
+) -> tuple[Fault, ...]:
+    """Name what shares and counts leave open, under the seed."""
+    drawn: set[int] = set()
+    out: list[Fault] = []
+    problems: list[Problem] = []
+    for fault in faults:
+        if fault.target not in ("node", "planner"):
+            out.append(fault)
+            continue
+        here = (
+            [n.model.id for n in nodes if not n.absent] if fault.target == "node" else list(range(planners))
+        )
+        every = [n.model.id for n in nodes] if fault.target == "node" else here
+        if fault.which:
+            unknown = [n for n in fault.which if n not in every]
+            if unknown:
+                text = f"no {fault.target} {unknown[0]}; they run from {every[0]} to {every[-1]}"
+                problems.append(Problem(section.place("at"), "at", text))
+            out.append(fault)
+            continue
+        if fault.what == "grow":
+            here = [n.model.id for n in nodes if n.absent]
+        pool = [n for n in here if not (fault.avoid and n in drawn)]
+        count = fault.count or max(1, round(fault.share * len(here)))
+        if count > len(pool):
+            text = f"{count} {fault.target}s wanted, {len(pool)} are there to draw from"
+            problems.append(Problem(section.place("at"), "at", text))
+            continue
+        which = tuple(sorted(rng.sample(pool, count)))
+        if fault.target == "node":
+            drawn.update(which)
+        out.append(replace(fault, which=which, count=0, share=0.0))
+    if problems:
+        raise SettingsError(problems)
+    return tuple(out)
+
+
+def lines_for(scenario: Scenario, keys: set[str], blocks: set[str]) -> list[str]:
+    """The scenario's own lines with these keywords, for a child's file."""
+    out: list[str] = []
+    inside = False
+    taking = False
+    for line in scenario.text.splitlines():
+        words: list[str] = line.split("#")[0].split()
+        if not words:
+            continue
+        if inside:
+            if taking:
+                out.append(line)
+            if words == ["end"]:
+                inside = False
+            continue
+        if words[0] in ("class", "demand", "fleet"):
+            inside, taking = True, words[0] in blocks
+            if taking:
+                out.append(line)
+        elif words[0] in keys:
+            out.append(line)
+    return out
+
+
+def names(schema: tuple[Key | Block, ...]) -> set[str]:
+    return {item.name for item in schema}
+
+
+def described(scenario: Scenario) -> dict[str, Any]:
+    """What a rule checker needs to know beside the traffic: the figures of the rules."""
+    room = scenario.room
+    return {
+        "classes": [
+            {
+                "name": c.name,
+                "effect": c.effect.value,
+                "scope": c.dedup_scope.value,
+                "window_us": c.window_us,
+                "deadline_us": c.deadline_us,
+                "aim_us": c.aim_us,
+                "spread": c.spread.value,
+                "spread_most": c.spread_most,
+            }
+            for c in room.classes
+        ],
+        "answer_slack_us": room.answer_slack_us,
+        "drain_grace_us": room.drain_grace_us,
+        "cold_us": room.cold_us,
+        "cold_share": room.cold_share,
+        "fall_us": room.fall_us,
+        "fall_multiple": room.fall_multiple,
+        "fresh_offers": room.fresh_offers,
+        "max_attempts": room.max_attempts,
+        "planners": scenario.planners,
+        "starts_per_s": {
+            str(n.model.id): n.model.starts_at_once / (n.model.start_us / 1e6) for n in scenario.nodes
+        },
+    }
--- /dev/null
+++ b/stairplank/standin/config.py
@@ -0,0 +1,291 @@
+"""The settings files of the stand-ins."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from ..settings import values as v
+from ..settings.lines import Problem, SettingsError
+from ..settings.room import ROOM, Room, room_from
+from ..settings.schema import Block, Key, Section, load
+from .directory import DirectoryModel
+from .node import NodeModel
+from .owner import Demand, OwnerModel
+from .script import Fault, parse
+
+COMMON: tuple[Key | Block, ...] = (
+    Key("seed", (v.whole(),)),
+    Key("begin", (v.whole(),)),  # zero of the script, microseconds on the machine's monotonic clock
+    Key("at", (), False, True, rest=v.text, least_rest=1),
+)
+MODEL: tuple[Key | Block, ...] = (
+    Key("look-time", (v.span(v.positive_duration),)),
+    Key("waiting-most", (v.whole(1, 1_000_000),)),
+    Key("starts-at-once", (v.whole(1, 1_000_000),)),
+    Key("start-time", (v.positive_duration,)),
+    Key("from-nothing", (v.number(1),)),
+    Key("programs-kept", (v.whole(0, 100_000),)),
+    Key("cores-use", (v.number(),)),
+    Key("memory-use", (v.number(),)),
+)
+LIST: tuple[Key | Block, ...] = (
+    Key("list-notice", (v.duration,)),
+    Key("list-silent", (v.duration,)),
+    Key("list-period", (v.positive_duration,)),
+)
+DEMAND = Block(
+    "demand",
+    (v.name,),
+    (
+        Key("share", (v.share,), True),
+        Key("size", (v.number(above=True), v.number(above=True)), True, True),
+        Key("life", (v.span(v.positive_duration),), True),
+        Key("batch", (v.span(v.whole(1, 10_000)),)),
+        Key("services", (v.whole(1, 1_000_000),)),
+        Key("service-most", (v.whole(1, 1_000_000),)),
+    ),
+)
+OWNERS: tuple[Key | Block, ...] = (
+    DEMAND,
+    Key("rate", (v.number(above=True),)),
+    Key("owner-again", (v.span(v.positive_duration),)),
+    Key("owner-soon", (v.span(v.positive_duration),)),
+    Key("owner-wanted", (v.positive_duration,)),
+    Key("asks-end", (v.positive_duration,)),
+    Key("tasks-most", (v.whole(0),)),
+)
+NODE = Block(
+    "node",
+    (v.whole(0, 2**32 - 1), v.name),
+    (
+        Key("kind", (v.name,), True),
+        Key("zone", (v.name,), True),
+        Key("rack", (v.name,), True),
+        Key("listen", (v.address,), True, True),
+        Key("advertise", (v.address,), False, True),
+        Key("absent", (v.flag,)),
+        Key("cold", (v.flag,)),
+    ),
+    True,
+)
+FARM = ROOM + COMMON + MODEL + (NODE, Key("directory", (v.address,)))
+LISTING = COMMON + LIST + (Key("listen", (v.address,), True, True),)
+CROWD = (
+    ROOM
+    + COMMON
+    + OWNERS
+    + (
+        Key("owner", (v.name,), True, True),
+        Key("planner", (v.whole(), v.address), True, True),
+        Key("report", (v.text,)),
+    )
+)
+
+
+@dataclass(frozen=True)
+class NodeConfig:
+    model: NodeModel
+    listen: tuple[str, ...]
+    advertise: tuple[str, ...]
+    absent: bool
+    cold: bool
+
+
+@dataclass(frozen=True)
+class FarmConfig:
+    nodes: tuple[NodeConfig, ...]
+    directory: str | None
+    seed: int
+    begin_us: int | None
+    faults: tuple[Fault, ...]
+
+
+@dataclass(frozen=True)
+class ListingConfig:
+    listen: tuple[str, ...]
+    model: DirectoryModel
+    begin_us: int | None
+    faults: tuple[Fault, ...]
+
+
+@dataclass(frozen=True)
+class CrowdConfig:
+    room: Room
+    owners: tuple[OwnerModel, ...]
+    planners: dict[int, str]
+    seed: int
+    begin_us: int | None
+    faults: tuple[Fault, ...]
+    report: str | None
+
+
+def faults_from(section: Section) -> tuple[Fault, ...]:
+    """Raises SettingsError with the place of a line that cannot be read."""
+    problems: list[Problem] = []
+    out: list[Fault] = []
+    for place, words in section.keys.get("at", ()):
+        try:
+            out.append(parse(list(words)))
+        except ValueError as error:
+            problems.append(Problem(place, "at", str(error)))
+    if problems:
+        raise SettingsError(problems)
+    return tuple(sorted(out, key=lambda f: f.at_us))
+
+
+def model_from(
+    room: Room, section: Section, id: int, name: str, kind: str, zone: str, rack: str
+) -> NodeModel:
+    sort = next(k for k in room.kinds if k.name == kind)
+    one = section.one
+    changes: dict[str, Any] = {
+        "look_us": one("look-time"),
+        "waiting_most": one("waiting-most"),
+        "starts_at_once": one("starts-at-once"),
+        "start_us": one("start-time"),
+        "from_nothing": one("from-nothing"),
+        "programs_kept": one("programs-kept"),
+        "cores_use": one("cores-use"),
+        "memory_use": one("memory-use"),
+    }
+    return NodeModel(
+        id=id,
+        name=name,
+        kind=kind,
+        zone=zone,
+        rack=rack,
+        cores=sort.cores,
+        memory=sort.memory,
+        cores_limit=room.cores_limit,
+        memory_limit=room.memory_limit,
+        cold_share=room.cold_share,
+        cold_us=room.cold_us,
+        fall_multiple=room.fall_multiple,
+        fall_us=room.fall_us,
+        fresh_offers=room.fresh_offers,
+        preempts=room.preempts,
+        **{k: value for k, value in changes.items() if value is not None},
+    )
+
+
+def load_farm(path: str | Path) -> FarmConfig:
+    section = load(path, FARM)
+    room = room_from(section)
+    problems: list[Problem] = []
+    nodes: list[NodeConfig] = []
+    ids: set[int] = set()
+    for block in section.blocks["node"]:
+        id, name = block.values
+        kind, zone = block.one("kind"), block.one("zone")
+        if id in ids:
+            problems.append(Problem(block.at, "node", f"{id} is there twice"))
+        ids.add(id)
+        if kind not in [k.name for k in room.kinds]:
+            problems.append(Problem(block.place("kind"), "kind", f"no kind {kind}"))
+            continue
+        if zone not in room.zones:
+            problems.append(Problem(block.place("zone"), "zone", f"no zone {zone}"))
+        listen = tuple(a for (a,) in block.all("listen"))
+        nodes.append(
+            NodeConfig(
+                model_from(room, section, id, name, kind, zone, block.one("rack")),
+                listen,
+                tuple(a for (a,) in block.all("advertise")),
+                block.one("absent", False),
+                block.one("cold", False),
+            )
+        )
+    if problems:
+        raise SettingsError(problems)
+    return FarmConfig(
+        tuple(nodes),
+        section.one("directory"),
+        section.one("seed", 1),
+        section.one("begin"),
+        faults_from(section),
+    )
+
+
+def directory_model(section: Section) -> DirectoryModel:
+    base = DirectoryModel()
+    return DirectoryModel(
+        section.one("list-notice", base.notice_us),
+        section.one("list-silent", base.silent_us),
+        section.one("list-period", base.period_us),
+    )
+
+
+def load_listing(path: str | Path) -> ListingConfig:
+    section = load(path, LISTING)
+    listen = tuple(a for (a,) in section.all("listen"))
+    return ListingConfig(listen, directory_model(section), section.one("begin"), faults_from(section))
+
+
+def demands_from(section: Section, room: Room) -> tuple[Demand, ...]:
+    problems: list[Problem] = []
+    out: list[Demand] = []
+    names = [c.name for c in room.classes]
+    for block in section.blocks.get("demand", ()):
+        (name,) = block.values
+        if name not in names:
+            problems.append(Problem(block.at, "demand", f"no class {name}; known: {', '.join(names)}"))
+            continue
+        one = block.one
+        out.append(
+            Demand(
+                name,
+                one("share"),
+                tuple((c, m) for c, m in block.all("size")),
+                one("life"),
+                one("batch", (1, 1)),
+                one("services", 20),
+                one("service-most", 8),
+            )
+        )
+    if not out and not problems:
+        problems.append(Problem(section.at, "demand", "is required"))
+    if problems:
+        raise SettingsError(problems)
+    return tuple(out)
+
+
+def owner_models(section: Section, room: Room, names: list[str], planners: int) -> tuple[OwnerModel, ...]:
+    one = section.one
+    demands = demands_from(section, room)
+    base = OwnerModel("", 1.0, demands, room.classes, planners)
+    tenants = [t for t, _ in room.tenants]
+    return tuple(
+        OwnerModel(
+            name=name,
+            rate=one("rate", 10.0) / len(names),
+            demands=demands,
+            classes=room.classes,
+            planners=planners,
+            tenant=tenants[i % len(tenants)] if tenants else "",
+            again_us=one("owner-again", base.again_us),
+            soon_us=one("owner-soon", base.soon_us),
+            owner_wait_us=room.owner_wait_us,
+            wanted_us=one("owner-wanted", base.wanted_us),
+            ends_us=one("asks-end", base.ends_us),
+            total=one("tasks-most", 0) // len(names),
+        )
+        for i, name in enumerate(names)
+    )
+
+
+def load_crowd(path: str | Path) -> CrowdConfig:
+    section = load(path, CROWD)
+    room = room_from(section)
+    planners = dict(section.all("planner"))
+    names = [n for (n,) in section.all("owner")]
+    return CrowdConfig(
+        room,
+        owner_models(section, room, names, len(planners)),
+        planners,
+        section.one("seed", 1),
+        section.one("begin"),
+        faults_from(section),
+        section.one("report"),
+    )
--- /dev/null
+++ b/stairplank/standin/farm.py
@@ -0,0 +1,319 @@
+"""Stand-in nodes on sockets: many in one process, each with addresses of its own. Decides nothing."""
+
+from __future__ import annotations
+
+import random
+import time
+from typing import Any
+
+import gevent
+import structlog
+from gevent.event import Event as Flag
+
+from .. import interface as api
+from ..planner import convert
+from ..planner.daemon import DIRECTORY, NODE, now_us
+from ..proto import caller, common_pb2, directory_pb2, methods, node_pb2
+from ..rpc import Channel, Code, RpcError, Server, ServerCall
+from .config import FarmConfig, NodeConfig
+from .node import Copies, Fell, Node, Probed, Said, SaidDraining, Word
+from .script import Fault
+
+ANNOUNCE_S = 0.1
+_EVENT = node_pb2.OfferEvent
+_STATE = {
+    api.NodeStatus.READY: directory_pb2.NodeEntry.STATE_READY,
+    api.NodeStatus.DRAINING: directory_pb2.NodeEntry.STATE_DRAINING,
+}
+_HOW = {
+    api.Result.FINISHED: _EVENT.Ended.HOW_FINISHED,
+    api.Result.CANCELLED: _EVENT.Ended.HOW_STOPPED,
+    api.Result.LOST: _EVENT.Ended.HOW_LOST,
+}
+
+
+def message(word: Said) -> Any:
+    id = convert.id_to(word.id)
+    reason: Any = int(word.reason)
+    match word.what:
+        case "accepted":
+            return _EVENT(accepted=_EVENT.Accepted(id=id))
+        case "running":
+            return _EVENT(running=_EVENT.Running(id=id))
+        case "refused":
+            return _EVENT(refused=_EVENT.Refused(id=id, reason=reason))
+        case "error":
+            return _EVENT(error=_EVENT.Error(id=id))
+        case "usage":
+            return _EVENT(usage=_EVENT.Usage(id=id, cores=word.cores, memory=word.memory))
+    assert word.result is not None
+    return _EVENT(ended=_EVENT.Ended(id=id, how=_HOW[word.result], reason=reason))
+
+
+class Served:
+    """One node: its present life, its listeners, its faults."""
+
+    def __init__(self, farm: Farm, config: NodeConfig) -> None:
+        self.farm = farm
+        self.config = config
+        self.id = config.model.id
+        self.rng = random.Random(farm.config.seed * 7919 + self.id)
+        self.node: Node | None = None
+        self.server: Server | None = None
+        self.started_unix_us = 0
+        self.calls: dict[int, ServerCall] = {}  # the newest stream of each planner
+        self.probes: dict[int, Any] = {}
+        self.next_probe = 0
+        self.losing = (0.0, "silence")
+        self.silent = False
+        self.hung = Flag()
+        self.hung.set()  # set: it does not hang
+        self.announcing: Any = None
+        self.wake = Flag()
+        self.addresses: tuple[str, ...] = config.listen
+
+    def start(self, cold: bool) -> None:
+        seed = self.rng.randrange(2**63)
+        copies = self.farm.copies.setdefault(self.config.model.rack, Copies())
+        self.node = Node(self.config.model, copies, seed, now_us(), cold)
+        self.started_unix_us = int(time.time() * 1e6) if cold else 0
+        handlers = methods(NODE, Offers=self.offers, Probe=self.probe, Held=self.held)
+        self.server = Server(self.addresses, handlers)
+        self.addresses = self.server.addresses
+        self.server.start()
+        self.announcing = gevent.spawn(self.announce)
+        gevent.spawn(self.clock, self.node)
+
+    def kill(self) -> None:
+        node, self.node = self.node, None
+        if node is not None:
+            node.down = True
+            for name, id in list(node.copies.standing.items()):
+                if id in node.held:
+                    del node.copies.standing[name]  # its copies are gone with it
+        if self.announcing is not None:
+            self.announcing.kill(block=False)
+        if self.server is not None:
+            self.server.stop()
+        self.calls.clear()
+        self.wake.set()
+
+    # Time
+
+    def clock(self, node: Node) -> None:
+        while self.node is node:
+            self.wake.clear()
+            due = node.next_due()
+            left = None if due is None else max(0, due - now_us()) / 1e6
+            self.wake.wait(left)
+            if self.node is node:
+                self.say(node.advance(now_us()))
+
+    def say(self, words: list[Word]) -> None:
+        for word in words:
+            match word:
+                case Said():
+                    self.tell(word)
+                case SaidDraining():
+                    for call in list(self.calls.values()):
+                        self.put(call, _EVENT(draining=_EVENT.Draining()))
+                case Probed():
+                    waiting = self.probes.pop(word.token, None)
+                    if waiting is not None:
+                        waiting.set(word)
+                case Fell():
+                    self.farm.log.warning(
+                        "node fell over", node=self.id, offers=word.offers, borne=word.borne
+                    )
+                    gevent.spawn(self.kill)
+        self.wake.set()
+
+    def tell(self, word: Said) -> None:
+        call = self.calls.get(word.planner)
+        if call is None or self.silent:
+            return
+        share, how = self.losing
+        if share and self.rng.random() < share:
+            if how == "reset":
+                call.stream.connection.close(RpcError(Code.UNAVAILABLE, "reset by script"))
+            return
+        self.put(call, message(word))
+
+    @staticmethod
+    def put(call: ServerCall, event: Any) -> None:
+        try:
+            if not call.try_send(event):
+                call.stream.connection.close(RpcError(Code.RESOURCE_EXHAUSTED, "the planner does not read"))
+        except RpcError:
+            pass  # the stream has gone: what was said is lost, as on a cut link
+
+    # Services
+
+    def offers(self, call: ServerCall) -> None:
+        self.hung.wait()
+        first = call.recv(5.0)
+        if first is None or first.WhichOneof("kind") != "hello":
+            raise RpcError(Code.INVALID_ARGUMENT, "kind: the first message must be hello")
+        node = self.living()
+        planner = first.hello.planner
+        welcome = _EVENT.Welcome(node=self.id, started_unix_us=self.started_unix_us, draining=node.draining)
+        call.send(_EVENT(welcome=welcome))
+        self.calls[planner] = call
+        try:
+            while (request := call.recv()) is not None:
+                self.hung.wait()
+                self.take(self.living(), planner, request)
+        finally:
+            if self.calls.get(planner) is call:
+                del self.calls[planner]
+
+    def take(self, node: Node, planner: int, request: Any) -> None:
+        match request.WhichOneof("kind"):
+            case "offer":
+                offer = request.offer
+                self.say(
+                    node.offer(
+                        now_us(),
+                        planner,
+                        convert.id_from(offer.id),
+                        convert.spec_from(offer.task),
+                        offer.wait_us,
+                        offer.priority,
+                        offer.window_us,
+                    )
+                )
+            case "stop":
+                self.say(node.stop(now_us(), convert.id_from(request.stop.id)))
+
+    def living(self) -> Node:
+        if self.node is None or self.node.down:
+            raise RpcError(Code.UNAVAILABLE, "the node is down")
+        return self.node
+
+    def probe(self, request: Any, call: ServerCall) -> Any:
+        self.hung.wait()
+        node = self.living()
+        self.next_probe += 1
+        waiting = self.probes[self.next_probe] = gevent.event.AsyncResult()
+        token = self.next_probe
+        try:
+            self.say(node.probe(now_us(), token))
+            told: Any = waiting.get(timeout=5.0)
+        except gevent.Timeout:
+            raise RpcError(Code.UNAVAILABLE, "the line is too long") from None
+        finally:
+            self.probes.pop(token, None)
+        report = common_pb2.Report(free_cores=told.free_cores, free_memory=told.free_memory, util=told.util)
+        return node_pb2.ProbeResponse(node=self.id, started_unix_us=self.started_unix_us, report=report)
+
+    def held(self, request: Any, call: ServerCall) -> Any:
+        self.hung.wait()
+        node = self.living()
+        answer = node_pb2.HeldResponse(node=self.id, started_unix_us=self.started_unix_us)
+        for offer in node.holds(request.planner):
+            running = offer.stage.value == "running"
+            answer.tasks.add(id=convert.id_to(offer.id), task=convert.task_to(offer.task), running=running)
+        return answer
+
+    # The node list
+
+    def announce(self) -> None:
+        """Tell the directory what this node is, at each change, for as long as it lives."""
+        if self.farm.config.directory is None:
+            return
+        while self.node is not None:
+            channel = Channel(self.farm.config.directory)
+            try:
+                call = caller(channel, DIRECTORY, "Announce")
+                self.node.changed = True
+                while self.node is not None:
+                    if self.node.changed:
+                        self.node.changed = False
+                        call.send(self.entry(self.node))
+                    if call.stream.error is not None:
+                        break
+                    gevent.sleep(ANNOUNCE_S)
+            except RpcError:
+                gevent.sleep(ANNOUNCE_S)
+            finally:
+                channel.close()
+
+    def entry(self, node: Node) -> Any:
+        model = self.config.model
+        status = api.NodeStatus.DRAINING if node.draining else api.NodeStatus.READY
+        free = node.free()
+        return directory_pb2.NodeEntry(
+            id=self.id,
+            name=model.name,
+            addresses=self.config.advertise or self.addresses,
+            zone=model.zone,
+            rack=model.rack,
+            kind=model.kind,
+            state=_STATE[status],
+            free_cores=free[0],
+            free_memory=free[1],
+            started_unix_us=self.started_unix_us,
+        )
+
+
+class Farm:
+    """All nodes of one process."""
+
+    def __init__(self, config: FarmConfig) -> None:
+        self.config = config
+        self.log = structlog.get_logger("nodes")
+        self.copies: dict[str, Copies] = {}
+        self.nodes = {n.model.id: Served(self, n) for n in config.nodes}
+
+    def start(self) -> None:
+        for node in self.nodes.values():
+            if not node.config.absent:
+                node.start(node.config.cold)
+        for fault in self.config.faults:
+            if fault.target == "node":
+                gevent.spawn(self.script, fault)
+
+    def script(self, fault: Fault) -> None:
+        begin = self.config.begin_us if self.config.begin_us is not None else now_us()
+        gevent.sleep(max(0.0, (begin + fault.at_us - now_us()) / 1e6))
+        nodes = [self.nodes[i] for i in fault.which if i in self.nodes]
+        self.log.info("fault", what=fault.what, nodes=[n.id for n in nodes], values=list(fault.values))
+        for node in nodes:
+            self.apply(node, fault, True)
+        if fault.for_us:
+            gevent.sleep(fault.for_us / 1e6)
+            for node in nodes:
+                self.apply(node, fault, False)
+
+    def apply(self, served: Served, fault: Fault, on: bool) -> None:
+        """Begin a fault, or end it."""
+        node = served.node
+        match fault.what:
+            case "kill":
+                if on:
+                    served.kill()
+                else:
+                    served.start(cold=True)
+            case "grow":
+                if node is None:
+                    served.start(cold=True)
+            case "cut":
+                for call in list(served.calls.values()):
+                    call.stream.connection.close(RpcError(Code.UNAVAILABLE, "cut by script"))
+            case "hang":
+                if on:
+                    served.hung.clear()
+                else:
+                    served.hung.set()
+            case "silent":
+                served.silent = on
+            case "lose-answers":
+                served.losing = (fault.values[0], fault.values[1]) if on else (0.0, "silence")
+            case "drain" if node is not None:
+                served.say(node.drain(now_us()))
+            case "fail-starts" if node is not None:
+                node.failing = fault.values[0] if on else 0.0
+            case "refuse" if node is not None:
+                node.refusing = fault.values[0] if on else 0.0
+            case "slow" if node is not None:
+                node.slow = fault.values[0] if on else 1.0
--- /dev/null
+++ b/stairplank/standin/listing.py
@@ -0,0 +1,149 @@
+"""The stand-in node list on sockets. Decides nothing."""
+
+from __future__ import annotations
+
+import time
+from typing import Any
+
+import gevent
+import structlog
+from gevent.event import Event as Flag
+
+from .. import interface as api
+from ..planner import convert
+from ..planner.daemon import DIRECTORY, now_us
+from ..planner.events import ListedNode
+from ..proto import directory_pb2, methods
+from ..rpc import Code, RpcError, Server, ServerCall
+from .config import ListingConfig
+from .directory import Directory
+from .script import Fault
+
+BEAT_S = 1.0  # a watcher hears something so often, if only that there is nothing new
+_STATES = {
+    api.NodeStatus.GONE: directory_pb2.NodeEntry.STATE_GONE,
+    api.NodeStatus.DRAINING: directory_pb2.NodeEntry.STATE_DRAINING,
+    api.NodeStatus.READY: directory_pb2.NodeEntry.STATE_READY,
+}
+
+
+def entry_to(node: ListedNode) -> Any:
+    return directory_pb2.NodeEntry(
+        id=node.id,
+        name=node.name,
+        addresses=node.addresses,
+        zone=node.zone,
+        rack=node.rack,
+        kind=node.kind,
+        state=_STATES[node.status],
+        free_cores=node.free_cores,
+        free_memory=node.free_memory,
+        started_unix_us=node.started_unix_us,
+    )
+
+
+class Listing:
+    def __init__(self, config: ListingConfig) -> None:
+        self.config = config
+        self.log = structlog.get_logger("directory")
+        # Revisions go on where an earlier life may have left off: they follow the clock.
+        self.directory = Directory(config.model, revision=int(time.time()))
+        self.away = False
+        self.hung = Flag()
+        self.hung.set()
+        self.news = Flag()
+        handlers = methods(DIRECTORY, List=self.list, Watch=self.watch, Announce=self.announce)
+        self.server = Server(config.listen, handlers)
+
+    def start(self) -> None:
+        self.server.start()
+        gevent.spawn(self.clock)
+        for fault in self.config.faults:
+            if fault.target == "list":
+                gevent.spawn(self.script, fault)
+
+    def clock(self) -> None:
+        while True:
+            gevent.sleep(0.02)
+            if self.directory.advance(now_us()):
+                self.news.set()
+                self.news = Flag()
+
+    def script(self, fault: Fault) -> None:
+        begin = self.config.begin_us if self.config.begin_us is not None else now_us()
+        gevent.sleep(max(0.0, (begin + fault.at_us - now_us()) / 1e6))
+        self.log.info("fault", what=fault.what, values=list(fault.values))
+        self.apply(fault, True)
+        if fault.for_us:
+            gevent.sleep(fault.for_us / 1e6)
+            self.apply(fault, False)
+
+    def apply(self, fault: Fault, on: bool) -> None:
+        match fault.what:
+            case "behind":
+                self.directory.behind_us = fault.values[0] if on else 0
+            case "away":
+                self.away = on
+                if on:
+                    self.cut()
+            case "hang":
+                if on:
+                    self.hung.clear()
+                else:
+                    self.hung.set()
+            case "forget":
+                # Danger for watchers: what changed meanwhile cannot be told as changes any more.
+                self.directory.history.clear()
+                self.cut()
+
+    def cut(self) -> None:
+        """Break the watchers' streams; nodes go on announcing."""
+        for connection in list(self.server.connections):
+            if any(call.path.endswith("/Watch") for call, _ in connection.calls.values()):
+                connection.close(RpcError(Code.UNAVAILABLE, "out of reach by script"))
+
+    def here(self) -> None:
+        if self.away:
+            raise RpcError(Code.UNAVAILABLE, "out of reach by script")
+        self.hung.wait()
+
+    def message(self, nodes: tuple[ListedNode, ...], full: bool, since: int) -> Any:
+        return directory_pb2.NodeList(
+            revision=self.directory.revision,
+            full=full,
+            since=since,
+            nodes=[entry_to(n) for n in nodes],
+            now_unix_us=int(time.time() * 1e6),
+        )
+
+    def list(self, request: Any, call: ServerCall) -> Any:
+        self.here()
+        return self.message(self.directory.whole(), True, 0)
+
+    def watch(self, request: Any, call: ServerCall) -> None:
+        self.here()
+        have = request.revision
+        first = True
+        while True:
+            news = self.news
+            changes = self.directory.changes_since(have) if have else None
+            if changes is None:
+                call.send(self.message(self.directory.whole(), True, 0))
+            elif changes or first or not news.is_set():
+                call.send(self.message(changes, False, have))
+            first = False
+            have = self.directory.revision
+            news.wait(BEAT_S)
+            self.hung.wait()
+
+    def announce(self, call: ServerCall) -> Any:
+        node = None
+        try:
+            while (entry := call.recv()) is not None:
+                told = convert.list_from(directory_pb2.NodeList(nodes=[entry]))
+                for node in told.nodes:
+                    self.directory.announced(now_us(), node)
+        finally:
+            if node is not None:
+                self.directory.fell_silent(now_us(), node.id)
+        return directory_pb2.AnnounceResponse()
--- /dev/null
+++ b/stairplank/standin/node.py
@@ -0,0 +1,417 @@
+"""A node as a state machine: what it accepts, how it starts tasks, how it fails. No I/O and no clock.
+
+The model is that of the users' brief: one ask is looked at at a time and only so many wait; tasks are
+accepted while what they ask stays within limits; starts take work, several times as much where the node has
+not the program of the service; a cold node starts at a share of its pace and falls over when pushed; a node
+that drains sends its tasks away.
+"""
+
+from __future__ import annotations
+
+import random
+from collections import Counter, deque
+from dataclasses import dataclass, field
+from enum import Enum
+
+from .. import interface as api
+from ..planner.events import AttemptId, TaskSpec
+
+FAILS_US = 20_000  # how long a start that fails takes
+
+
+@dataclass(frozen=True)
+class NodeModel:
+    """One node's figures; times in microseconds."""
+
+    id: int
+    name: str
+    kind: str
+    zone: str
+    rack: str
+    cores: float
+    memory: float
+    cores_limit: float = 1.0
+    memory_limit: float = 1.0
+    look_us: tuple[int, int] = (2_000, 5_000)
+    waiting_most: int = 16
+    starts_at_once: int = 4
+    start_us: int = 60_000
+    from_nothing: float = 6.0  # times the work where the program is not there
+    programs_kept: int = 8
+    cold_share: float = 0.2
+    cold_us: int = 10_000_000
+    fall_multiple: float = 2.0
+    fall_us: int = 1_500_000
+    fresh_offers: float = 20.0
+    preempts: bool = False
+    cores_use: float = 0.5
+    memory_use: float = 0.65
+
+
+class Stage(Enum):
+    WAITING = "waiting"  # not looked at
+    ACCEPTED = "accepted"  # room is taken; not begun
+    STARTING = "starting"
+    RUNNING = "running"
+
+
+@dataclass(slots=True)
+class Offer:
+    """An offer, from its arrival to its end."""
+
+    planner: int
+    id: AttemptId
+    task: TaskSpec
+    until: int  # an answer is of use until then
+    priority: int
+    window_us: int  # keyed: how long repeats are dropped; else 0
+    came: int
+    stage: Stage = Stage.WAITING
+    ends: int = 0  # of the start, or of the task; 0: not by itself
+    fails: bool = False  # its start will
+
+
+@dataclass(slots=True)
+class Copies:
+    """What the nodes of one group remember of keyed tasks: one copy stands, repeats are dropped."""
+
+    standing: dict[tuple[str, int], AttemptId] = field(default_factory=dict)
+    done: dict[tuple[str, int], int] = field(default_factory=dict)  # finished: remembered until
+    most: int = 100_000
+
+    def drops(self, name: tuple[str, int], id: AttemptId, now: int) -> bool:
+        stands = self.standing.get(name)
+        if stands is not None and stands != id:
+            return True
+        return self.done.get(name, 0) > now
+
+    def finished(self, name: tuple[str, int], until: int, now: int) -> None:
+        self.done[name] = until
+        if len(self.done) > self.most:
+            self.done = {k: u for k, u in self.done.items() if u > now}
+
+
+@dataclass(frozen=True, slots=True)
+class Said:
+    """A word to a planner about an attempt. ``what``: accepted, running, refused, error, ended, usage."""
+
+    planner: int
+    what: str
+    id: AttemptId
+    result: api.Result | None = None
+    reason: api.Reason = api.Reason.UNTOLD
+    cores: float = 0.0
+    memory: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class SaidDraining:
+    pass
+
+
+@dataclass(frozen=True, slots=True)
+class Probed:
+    """The answer to a probe."""
+
+    token: int
+    free_cores: float
+    free_memory: float
+    util: float
+
+
+@dataclass(frozen=True, slots=True)
+class Fell:
+    """It was pushed over and is down from now on."""
+
+    offers: int
+    borne: float
+
+
+Word = Said | SaidDraining | Probed | Fell
+
+
+class Node:
+    """One life of a node. A restart is a new one with a later ``started``."""
+
+    def __init__(self, model: NodeModel, copies: Copies, seed: int, started: int, cold: bool) -> None:
+        self.model = model
+        self.copies = copies
+        self.rng = random.Random(seed)
+        self.started = started
+        self.cold = cold  # it has just come up; else it is taken to have run for long
+        self.draining = False
+        self.down = False
+        self.slow = 1.0  # fault: times the usual work
+        self.failing = 0.0  # fault: share of the starts that fail, quickly
+        self.refusing = 0.0  # fault: share of the offers turned away without a reason
+        self.held: dict[AttemptId, Offer] = {}
+        self.line: deque[Offer | int] = deque()  # offers and probes wait in one line
+        self.look_ends = 0
+        self.programs: Counter[int] = Counter()
+        self.kept: deque[int] = deque(maxlen=model.programs_kept)
+        self.asked_cores = 0.0
+        self.asked_memory = 0.0
+        self.pushed: deque[int] = deque()
+        self.changed = True  # something that the list shows
+        self.out: list[Word] = []
+
+    # Driving
+
+    def offer(
+        self,
+        now: int,
+        planner: int,
+        id: AttemptId,
+        task: TaskSpec,
+        wait_us: int,
+        priority: int,
+        window_us: int,
+    ) -> list[Word]:
+        self.out = []
+        self._advance(now)
+        if self.down or id in self.held:
+            return self.out
+        offer = Offer(planner, id, task, now + wait_us, priority, window_us, now)
+        self._push(now)
+        if self.down:
+            return self.out
+        if self.draining:
+            self._say(offer, "refused", reason=api.Reason.NOT_HERE)
+        elif sum(isinstance(x, Offer) for x in self.line) >= self.model.waiting_most:
+            self._say(offer, "refused", reason=api.Reason.QUEUE_FULL)
+        else:
+            self.held[id] = offer
+            self.line.append(offer)
+            self._look(now)
+        return self.out
+
+    def stop(self, now: int, id: AttemptId) -> list[Word]:
+        """End a task or an offer. What had not begun is handed back: it never ran."""
+        self.out = []
+        self._advance(now)
+        offer = self.held.get(id)
+        if offer is not None and not self.down:
+            if offer.stage in (Stage.WAITING, Stage.ACCEPTED):
+                self._release(offer)
+                self._say(offer, "refused", reason=api.Reason.NOT_HERE)
+            else:
+                self._release(offer)
+                self._say(offer, "ended", api.Result.CANCELLED)
+            self._begin(now)
+        return self.out
+
+    def probe(self, now: int, token: int) -> list[Word]:
+        self.out = []
+        self._advance(now)
+        if not self.down:
+            self.line.append(token)
+            self._look(now)
+        return self.out
+
+    def drain(self, now: int) -> list[Word]:
+        """Send every task away at once, and take nothing more."""
+        self.out = []
+        self._advance(now)
+        if not self.draining and not self.down:
+            self.draining = self.changed = True
+            self.out.append(SaidDraining())
+            for offer in list(self.held.values()):
+                self._send_away(offer, api.Reason.SENT_AWAY)
+        return self.out
+
+    def advance(self, now: int) -> list[Word]:
+        self.out = []
+        self._advance(now)
+        return self.out
+
+    def next_due(self) -> int | None:
+        """When ``advance`` is wanted."""
+        if self.down:
+            return None
+        times = [self.look_ends] if self.line and self.look_ends else []
+        times += [o.ends for o in self.held.values() if o.ends]
+        return min(times, default=None)
+
+    def holds(self, planner: int) -> list[Offer]:
+        return [o for o in self.held.values() if o.planner == planner]
+
+    def free(self) -> tuple[float, float]:
+        """Cores and memory that no accepted task asks for."""
+        return self.model.cores - self.asked_cores, self.model.memory - self.asked_memory
+
+    def util(self) -> float:
+        running = sum(o.task.cores for o in self.held.values() if o.stage is Stage.RUNNING)
+        starting = sum(1 for o in self.held.values() if o.stage is Stage.STARTING)
+        return min(1.0, (running * self.model.cores_use + starting) / self.model.cores)
+
+    def pace(self, now: int) -> float:
+        """Share of the usual pace of starts: a cold node gains it evenly."""
+        if not self.cold:
+            return 1.0
+        done = min(1.0, (now - self.started) / max(1, self.model.cold_us))
+        return self.model.cold_share + (1 - self.model.cold_share) * done
+
+    # Inside
+
+    def _advance(self, now: int) -> None:
+        """Do what has come due, in the order of time."""
+        while not self.down:
+            due = self.next_due()
+            if due is None or due > now:
+                return
+            if self.line and self.look_ends == due:
+                self._looked(due)
+            else:
+                offer = min((o for o in self.held.values() if o.ends), key=lambda o: (o.ends, o.id))
+                self._end(offer, due)
+
+    def _push(self, now: int) -> None:
+        """Rule 4's model: offers push a cold node, refused ones too."""
+        model = self.model
+        if not self.cold or now - self.started >= model.cold_us:
+            return
+        self.pushed.append(now)
+        while self.pushed and self.pushed[0] < now - model.fall_us:
+            self.pushed.popleft()
+        rate = model.starts_at_once * self.pace(now) / (model.start_us / 1e6)
+        borne = max(model.fresh_offers, model.fall_multiple * rate * model.fall_us / 1e6)
+        if len(self.pushed) > borne:
+            self.down = self.changed = True
+            self.out.append(Fell(len(self.pushed), borne))
+
+    def _look(self, now: int) -> None:
+        if self.line and not self.look_ends:
+            self.look_ends = now + int(self.rng.randint(*self.model.look_us) * self.slow)
+
+    def _looked(self, now: int) -> None:
+        first = self.line.popleft()
+        self.look_ends = 0
+        if isinstance(first, Offer):
+            if first.id in self.held:
+                self._judge(first, now)
+        else:
+            self.out.append(Probed(first, *self.free(), self.util()))
+        self._look(now)
+
+    def _judge(self, offer: Offer, now: int) -> None:
+        task = offer.task
+        reason = None
+        if now >= offer.until:
+            reason = api.Reason.NOT_HERE
+        elif self.refusing and self.rng.random() < self.refusing:
+            reason = api.Reason.UNTOLD
+        elif offer.window_us and self.copies.drops((task.owner, task.key), offer.id, now):
+            reason = api.Reason.NOT_HERE
+        else:
+            reason = self._room_for(offer)
+        if reason is not None:
+            del self.held[offer.id]
+            self._say(offer, "refused", reason=reason)
+            return
+        offer.stage = Stage.ACCEPTED
+        self.asked_cores += task.cores
+        self.asked_memory += task.memory
+        self.changed = True
+        if offer.window_us:
+            self.copies.standing[task.owner, task.key] = offer.id
+        self._say(offer, "accepted")
+        self._begin(now)
+
+    def _room_for(self, offer: Offer) -> api.Reason | None:
+        """None where it fits, if need be after tasks of lower priority were pushed out."""
+        task, model = offer.task, self.model
+        cores = self.asked_cores + task.cores - model.cores * model.cores_limit
+        memory = self.asked_memory + task.memory - model.memory * model.memory_limit
+        if cores <= 1e-6 and memory <= 1e-6:
+            return None
+        out: list[Offer] = []
+        if model.preempts:
+            lower = [
+                o for o in self.held.values() if o.stage is not Stage.WAITING and o.priority < offer.priority
+            ]
+            for other in sorted(lower, key=lambda o: (o.priority, -o.came)):
+                out.append(other)
+                cores -= other.task.cores
+                memory -= other.task.memory
+                if cores <= 1e-6 and memory <= 1e-6:
+                    for victim in out:
+                        self._send_away(victim, api.Reason.PUSHED_OUT)
+                    return None
+        return api.Reason.NO_CORES if cores > 1e-6 else api.Reason.NO_MEMORY
+
+    def _begin(self, now: int) -> None:
+        """Start accepted tasks in the order of their coming, while slots are free."""
+        busy = sum(1 for o in self.held.values() if o.stage is Stage.STARTING)
+        for offer in self.held.values():
+            if busy >= self.model.starts_at_once:
+                return
+            if offer.stage is Stage.ACCEPTED:
+                busy += 1
+                offer.stage = Stage.STARTING
+                known = self.programs[offer.task.service] > 0 or offer.task.service in self.kept
+                self.programs[offer.task.service] += 1
+                work = self.model.start_us * (1.0 if known else self.model.from_nothing) / self.pace(now)
+                offer.fails = self.failing > 0 and self.rng.random() < self.failing
+                if offer.fails:
+                    work = FAILS_US  # and fast: a node like that looks roomy
+                offer.ends = now + max(1, int(work * self.slow * self.rng.uniform(0.8, 1.2)))
+
+    def _end(self, offer: Offer, now: int) -> None:
+        if offer.stage is Stage.STARTING and offer.fails:
+            self._release(offer)
+            self._say(offer, "error")
+        elif offer.stage is Stage.STARTING:
+            offer.stage = Stage.RUNNING
+            offer.ends = now + offer.task.life_us if offer.task.life_us else 0
+            self._say(offer, "running")
+            task, model = offer.task, self.model
+            self.out.append(
+                Said(
+                    offer.planner,
+                    "usage",
+                    offer.id,
+                    cores=task.cores * model.cores_use,
+                    memory=task.memory * model.memory_use,
+                )
+            )
+        else:
+            self._release(offer)
+            if offer.window_us:
+                name = offer.task.owner, offer.task.key
+                self.copies.finished(name, offer.came + offer.window_us, now)
+            self._say(offer, "ended", api.Result.FINISHED)
+        self._begin(now)
+
+    def _send_away(self, offer: Offer, reason: api.Reason) -> None:
+        begun = offer.stage in (Stage.STARTING, Stage.RUNNING)
+        self._release(offer)
+        if begun:
+            self._say(offer, "ended", api.Result.LOST, reason)
+        else:
+            self._say(offer, "refused", reason=api.Reason.NOT_HERE)
+
+    def _release(self, offer: Offer) -> None:
+        self.held.pop(offer.id, None)
+        if offer.stage is Stage.WAITING:
+            return
+        task = offer.task
+        self.asked_cores -= task.cores
+        self.asked_memory -= task.memory
+        self.changed = True
+        if self.copies.standing.get((task.owner, task.key)) == offer.id:
+            del self.copies.standing[task.owner, task.key]
+        if offer.stage in (Stage.STARTING, Stage.RUNNING):
+            self.programs[task.service] -= 1
+            if self.programs[task.service] <= 0:
+                del self.programs[task.service]
+                if task.service not in self.kept:
+                    self.kept.append(task.service)
+
+    def _say(
+        self,
+        offer: Offer,
+        what: str,
+        result: api.Result | None = None,
+        reason: api.Reason = api.Reason.UNTOLD,
+    ) -> None:
+        self.out.append(Said(offer.planner, what, offer.id, result, reason))
--- /dev/null
+++ b/stairplank/standin/script.py
@@ -0,0 +1,112 @@
+"""What goes wrong and when: the ``at`` lines of a scenario and of the stand-ins' files.
+
+at 10s nodes 20% fail-starts 60% for 12s     a share or number of the nodes, drawn under the scenario's seed
+at 12s node 3 drain                          one node, by id
+at 14s list behind 4s for 10s
+at 20s planner 1 kill for 3s
+at 25s demand 2.0 for 6s
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any
+
+from ..settings import values as v
+
+# target: fault: kinds of its values. A fault with ``for`` ends by itself.
+FAULTS: dict[str, dict[str, tuple[tuple[v.Value, ...], str]]] = {
+    "node": {
+        "fail-starts": ((v.share,), "for"),
+        "refuse": ((v.share,), "for"),
+        "slow": ((v.number(1, 1000),), "for"),
+        "lose-answers": ((v.share, v.choice("silence", "reset")), "for"),
+        "silent": ((), "for"),
+        "hang": ((), "for"),
+        "drain": ((), ""),
+        "kill": ((), "for"),
+        "cut": ((), ""),
+        "grow": ((), ""),
+    },
+    "list": {"behind": ((v.duration,), "for"), "away": ((), "for"), "hang": ((), "for"), "forget": ((), "")},
+    "planner": {"kill": ((), "for"), "pause": ((), "for"), "cut": ((), "")},
+    "owners": {"restart-services": ((v.share, v.duration), ""), "cut": ((), "")},
+    "demand": {"times": ((v.number(0, 1000, above=True),), "for")},
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """One line. ``count`` and ``share`` say how many are drawn; ``which`` names them."""
+
+    at_us: int
+    target: str
+    what: str
+    values: tuple[Any, ...] = ()
+    for_us: int = 0
+    which: tuple[int, ...] = ()
+    count: int = 0
+    share: float = 0.0
+    avoid: bool = False  # drawn among those that no earlier line drew
+
+    def line(self) -> str:
+        """The line again, with what was drawn by name."""
+        words = ["at", f"{self.at_us}us"]
+        if self.target in ("node", "planner") and self.which:
+            words += [self.target, *map(str, self.which)]
+        else:
+            words.append(self.target)
+        if self.target != "demand":
+            words.append(self.what)
+        for kind, value in zip(FAULTS[self.target][self.what][0], self.values, strict=True):
+            words.append(f"{value}us" if kind in (v.duration, v.positive_duration) else str(value))
+        if self.for_us:
+            words += ["for", f"{self.for_us}us"]
+        return " ".join(words)
+
+
+def parse(words: list[str]) -> Fault:
+    """A line without its ``at``. Raises ValueError."""
+    if len(words) < 2:
+        raise ValueError("TIME TARGET FAULT is needed")
+    at = v.duration(words[0])
+    target, rest = words[1], words[2:]
+    which: tuple[int, ...] = ()
+    count, share, avoid = 0, 0.0, False
+    if target in ("nodes", "planners"):
+        target = target[:-1]
+        if rest[:1] == ["other"]:
+            avoid, rest = True, rest[1:]
+        if not rest or not (rest[0].isdigit() or rest[0].endswith("%")):
+            raise ValueError(f"how many {target}s, or which share of them, is needed")
+        if rest[0].isdigit():
+            count = int(rest[0])
+        else:
+            share = v.share(rest[0])
+        rest = rest[1:]
+    elif target in ("node", "planner"):
+        digits = next((i for i, word in enumerate(rest) if not word.isdigit()), len(rest))
+        if digits == 0:
+            raise ValueError(f"the number of the {target} is needed")
+        which, rest = tuple(map(int, rest[:digits])), rest[digits:]
+    elif target == "demand":
+        rest = ["times", *rest]
+    if target not in FAULTS:
+        raise ValueError(f"no target {target!r}; known: {', '.join(sorted(FAULTS))}")
+    what, rest = (rest[0], rest[1:]) if rest else ("", [])
+    known = FAULTS[target].get(what)
+    if known is None:
+        raise ValueError(f"no fault {what!r} of a {target}; known: {', '.join(sorted(FAULTS[target]))}")
+    kinds, lasts = known
+    if len(rest) < len(kinds):
+        raise ValueError(f"{what} needs {len(kinds)} value(s)")
+    values = tuple(kind(word) for kind, word in zip(kinds, rest, strict=False))
+    rest = rest[len(kinds) :]
+    for_us = 0
+    if lasts:
+        if len(rest) != 2 or rest[0] != "for":
+            raise ValueError(f"{what} needs `for TIME` at its end")
+        for_us = v.positive_duration(rest[1])
+    elif rest:
+        raise ValueError(f"{rest[0]!r} is one word too many")
+    return Fault(at, target, what, values, for_us, which, count, share, avoid)
