--- a/stairplank/rehearsal/decode.py
+++ b/stairplank/rehearsal/decode.py
@@ -53,7 +53,8 @@
 
     def where(self) -> str:
         arrow = "->" if self.from_dialler else "<-"
-        kind = self.body.WhichOneof("kind") if hasattr(self.body, "kind") else None
+        oneof = self.body is not None and "kind" in self.body.DESCRIPTOR.oneofs_by_name
+        kind = self.body.WhichOneof("kind") if oneof else None
         what = self.end if self.body is None else f"{type(self.body).__name__} {kind or ''}".strip()
         return f"record {self.frame} link {self.link} {arrow} {self.to} stream {self.stream}: {what}"
 
--- a/stairplank/settings/values.py
+++ b/stairplank/settings/values.py
@@ -24,6 +24,14 @@
     return round(float(match[1]) * _US[match[2]])
 
 
+def as_duration(us: int) -> str:
+    """The same time as a word, in the largest unit that gives a whole number."""
+    for unit in ("h", "m", "s", "ms"):
+        if us and us % _US[unit] == 0:
+            return f"{us // _US[unit]}{unit}"
+    return f"{us}us"
+
+
 def positive_duration(text: str) -> int:
     value = duration(text)
     if value <= 0:
--- a/stairplank/standin/script.py
+++ b/stairplank/standin/script.py
@@ -51,7 +51,7 @@
 
     def line(self) -> str:
         """The line again, with what was drawn by name."""
-        words = ["at", f"{self.at_us}us"]
+        words = ["at", v.as_duration(self.at_us)]
         if self.target in ("node", "planner") and self.which:
             words += [self.target, *map(str, self.which)]
         else:
@@ -59,9 +59,9 @@
         if self.target != "demand":
             words.append(self.what)
         for kind, value in zip(FAULTS[self.target][self.what][0], self.values, strict=True):
-            words.append(f"{value}us" if kind in (v.duration, v.positive_duration) else str(value))
+            words.append(v.as_duration(value) if kind in (v.duration, v.positive_duration) else str(value))
         if self.for_us:
-            words += ["for", f"{self.for_us}us"]
+            words += ["for", v.as_duration(self.for_us)]
         return " ".join(words)
 
 
--- /dev/null
+++ b/tests/planner/test_core.py
@@ -0,0 +1,503 @@
+"""The core's states, each hard case by itself."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+from world import BOUNDS, MS, SECOND, World, held
+
+from stairplank import interface as api
+from stairplank.planner import events as ev
+from stairplank.planner.admission import Bounds
+from stairplank.planner.core import ANSWER_TICKS
+
+TICK = 10 * MS
+
+
+def test_a_task_from_ask_to_end() -> None:
+    w = World()
+    offer = w.offer(1)
+    w.feed(ev.NodeAccepted(offer.node, offer.id))
+    assert w.words() == []
+    w.now += 40 * MS
+    w.feed(ev.NodeRunning(offer.node, offer.id))
+    w.feed(ev.NodeEnded(offer.node, offer.id, api.Result.FINISHED, api.Reason.UNTOLD))
+    assert w.words() == [
+        ev.PlacedAt(1, offer.node, 0, 40 * MS),
+        ev.EndedTask(1, 1, True, api.Reason.UNTOLD),
+    ]
+    assert w.words(ev.Taken) == [ev.Taken(1, 1)] and len(w.words(ev.Offered)) == 1
+    assert w.empty()
+
+
+def test_acceptance_binds_where_the_room_says_so() -> None:
+    w = World(confirms_running=False)
+    offer = w.offer(1)
+    w.feed(ev.NodeAccepted(offer.node, offer.id))
+    assert isinstance(w.words()[0], ev.PlacedAt)
+    w.feed(ev.NodeRunning(offer.node, offer.id))
+    w.feed(ev.NodeError(offer.node, offer.id))  # it broke later: the binding stands, the task is over
+    assert w.words()[1:] == [ev.EndedTask(1, 1, False, api.Reason.UNTOLD)]
+    assert w.empty()
+
+
+def test_a_refusal_goes_elsewhere() -> None:
+    w = World()
+    first = w.offer(1)
+    w.feed(ev.NodeRefused(first.node, first.id, api.Reason.NO_CORES))
+    first_two = w.all(ev.SendOffer)
+    if len(first_two) == 1:  # the module may wait before it tries again
+        w.wait(SECOND)
+    second = w.all(ev.SendOffer)[1]
+    assert second.node != first.node and second.id.attempt == 1
+
+
+def test_a_task_that_fits_nowhere_is_refused_before_its_owner_gives_up() -> None:
+    w = World()
+    w.ask(1, cores=15.0)
+    for n in (2, 3):
+        w.ask(n, cores=15.0)
+    for offer in w.all(ev.SendOffer):
+        w.feed(ev.NodeRunning(offer.node, offer.id))
+    w.ask(4, cores=15.0, wait=3 * SECOND)
+    asked = w.now
+    w.wait(4 * SECOND)
+    assert w.words(ev.RefusedTask)[0].ask == 4
+    assert w.now > asked
+
+
+# Time-outs and what comes late
+
+
+def test_no_word_in_time_fails_a_once_task_and_leaves_it_alone() -> None:
+    w = World()
+    offer = w.offer(1, "report")
+    w.wait(6 * SECOND - ANSWER_TICKS * TICK + MS)
+    assert w.words() == [ev.FailedTask(1, True)]
+    assert w.all(ev.SendStop) == []  # if it runs after all, that is its one run
+    w.feed(ev.NodeRunning(offer.node, offer.id))
+    assert w.words()[1:] == [ev.Found(1, 1, offer.node)]
+    w.feed(ev.NodeEnded(offer.node, offer.id, api.Result.FINISHED, api.Reason.UNTOLD))
+    assert w.words()[2:] == [ev.EndedTask(1, 1, True, api.Reason.UNTOLD)]
+    assert w.empty()
+
+
+def test_a_late_copy_of_a_repeatable_task_is_called_back() -> None:
+    w = World()
+    offer = w.offer(1, wait=20 * SECOND)
+    w.wait(5500 * MS)
+    stops = w.all(ev.SendStop)
+    assert [s.why for s in stops][0] is ev.StopWhy.LEFT_OVER and stops[0].id == offer.id
+    w.feed(ev.NodeRunning(offer.node, offer.id))
+    assert ev.SendStop(offer.node, offer.id, ev.StopWhy.LEFT_OVER) in w.all(ev.SendStop)[1:]
+    assert w.words(ev.Found) == []
+
+
+def test_a_once_task_is_not_taken_again_while_a_copy_may_run() -> None:
+    w = World()
+    offer = w.offer(1, "report")
+    w.wait(6 * SECOND)
+    w.ask(2, "report", key=1)
+    (word,) = w.words(ev.Rejected)
+    assert word.rejection.code == "ABORTED" and word.rejection.retry_after_us > 0
+    w.feed(ev.NodeRefused(offer.node, offer.id, api.Reason.NOT_HERE))  # now it is proven
+    w.ask(3, "report", key=1)
+    assert len(w.all(ev.SendOffer)) == 2
+
+
+def test_a_hung_node_s_leftover_is_forgotten_in_bounded_time() -> None:
+    w = World(leftover_us=10 * SECOND)
+    w.offer(1, "report")
+    w.wait(17 * SECOND)
+    assert w.empty()
+    # Its word after that is answered by asking what the node holds, and the task is found.
+    offer = w.all(ev.SendOffer)[0]
+    w.said.clear()
+    w.feed(ev.NodeRunning(offer.node, offer.id))
+    assert w.all(ev.AskHeld) == [ev.AskHeld(offer.node)]
+    w.feed(ev.HeldTold(offer.node, 0, (ev.HeldTask(offer.id, offer.task, True),)))
+    assert w.words() == [ev.Found(0, 1, offer.node)]
+
+
+def test_the_earlier_copy_of_a_keyed_task_is_stopped_once_the_later_is_bound() -> None:
+    w = World(nodes=2)
+    first = w.offer(1, "ingest")
+    w.feed(ev.NodeError(first.node, first.id))
+    w.wait(SECOND)
+    second = w.all(ev.SendOffer)[1]
+    assert second.node != first.node
+    w.feed(ev.NodeRunning(second.node, second.id))
+    assert [type(x) for x in w.words()] == [ev.PlacedAt]
+
+
+# Links
+
+
+def test_offers_wait_for_a_link_and_are_unreachable_without_one() -> None:
+    w = World(nodes=1)
+    w.feed(ev.LinkDown(1))
+    w.ask(1, "report")
+    assert w.all(ev.SendOffer) == [] and w.all(ev.Dial)
+    w.feed(ev.LinkUp(1, 0, False))
+    assert len(w.all(ev.SendOffer)) == 1
+
+
+def test_a_dial_that_fails_proves_that_nothing_ran() -> None:
+    w = World(nodes=1)
+    w.feed(ev.LinkDown(1))
+    w.ask(1, "report", wait=2 * SECOND)
+    w.feed(ev.DialFailed(1))
+    w.wait(3 * SECOND)
+    assert [type(x) for x in w.words()] == [ev.RefusedTask]  # a retry is harmless: no offer ever left
+    assert w.empty()
+
+
+def test_a_dial_that_hangs_is_given_up() -> None:
+    w = World(nodes=1)
+    w.feed(ev.LinkDown(1))
+    w.ask(1, "report", wait=2 * SECOND)
+    w.wait(260 * MS)
+    assert w.core.attempts == {}
+
+
+def test_a_cut_link_that_comes_back_settles_what_was_under_way() -> None:
+    w = World(nodes=3)
+    waits, runs, gone = w.offer(1, "report"), w.running(2, "report"), w.running(3, "report")
+    lines = {waits.node, runs.node, gone.node}
+    w.said.clear()
+    for node in lines:
+        w.feed(ev.LinkDown(node))
+    w.wait(300 * MS)
+    for node in lines:
+        here = [o for o in (waits, runs) if o.node == node]
+        w.up(node, held=[ev.HeldTask(o.id, o.task, True) for o in here])
+    assert w.words() == [
+        ev.EndedTask(3, 3, False, api.Reason.UNTOLD),
+        ev.PlacedAt(1, waits.node, 0, 300 * MS),
+    ] or w.words() == [
+        ev.PlacedAt(1, waits.node, 0, 300 * MS),
+        ev.EndedTask(3, 3, False, api.Reason.UNTOLD),
+    ]
+
+
+def test_a_link_that_stays_away_loses_what_was_under_way() -> None:
+    w = World()
+    waits, runs = w.offer(1, "report"), w.running(2, "report")
+    for node in {waits.node, runs.node}:
+        w.feed(ev.LinkDown(node))
+    w.wait(999 * MS)
+    assert w.words(ev.EndedTask) == [] and w.words(ev.FailedTask) == []
+    w.wait(2 * MS)
+    assert w.words(ev.EndedTask) == [ev.EndedTask(2, 2, False, api.Reason.UNTOLD)]
+    assert w.words(ev.FailedTask) == [ev.FailedTask(1, True)]
+
+
+def test_what_provably_never_left_is_no_risk() -> None:
+    w = World(nodes=2)
+    offer = w.offer(1, "report")
+    w.feed(ev.LinkDown(offer.node, frozenset({offer.id})))
+    w.wait(SECOND)
+    second = w.all(ev.SendOffer)[1]
+    assert second.id.attempt == 1 and second.node != offer.node
+
+
+def test_a_node_that_started_anew_has_lost_all() -> None:
+    w = World()
+    offer = w.running(1)
+    w.feed(ev.LinkDown(offer.node))
+    w.wait(100 * MS)
+    w.feed(ev.LinkUp(offer.node, 77, False))
+    assert w.words(ev.EndedTask) == [ev.EndedTask(1, 1, False, api.Reason.UNTOLD)]
+
+
+def test_dials_back_off_and_are_one_at_a_time() -> None:
+    w = World(nodes=1)
+    w.feed(ev.LinkDown(1))
+    gaps = []
+    for _ in range(8):
+        before = w.now
+        while not w.all(ev.Dial):
+            w.wait(10 * MS)
+        gaps.append(w.now - before)
+        assert len(w.all(ev.Dial)) == 1
+        w.said.clear()
+        w.feed(ev.DialFailed(1))
+    assert gaps[-1] >= SECOND and gaps[-1] <= 2 * SECOND + 10 * MS and gaps[1] < 500 * MS
+
+
+# Drains and the list
+
+
+def test_an_offer_that_waits_for_a_link_does_not_leave_after_a_drain() -> None:
+    w = World(nodes=1)
+    w.feed(ev.LinkDown(1))
+    w.ask(1, "report")
+    w.list(1, full=False, revision=2, status=api.NodeStatus.DRAINING)
+    w.feed(ev.LinkUp(1, 0, False))
+    assert w.all(ev.SendOffer) == []
+
+
+def test_a_node_s_own_word_beats_an_older_ready() -> None:
+    w = World(nodes=1)
+    w.feed(ev.NodeDraining(1))
+    w.list(1, full=False, revision=2)  # the list is late
+    w.ask(1)
+    assert w.all(ev.SendOffer) == []
+    w.feed(ev.LinkDown(1))
+    w.up(1, started=99)  # another life: its word is its own
+    w.list(1, full=False, revision=3, started=99)
+    w.wait(2 * SECOND)
+    assert w.all(ev.SendOffer)
+
+
+def test_draining_at_the_hello_counts() -> None:
+    w = World(nodes=1)
+    w.feed(ev.LinkDown(1))
+    w.ask(1, "report")
+    w.feed(ev.LinkUp(1, 0, True))
+    assert w.all(ev.SendOffer) == []
+
+
+def test_missed_changes_are_answered_by_the_whole_list() -> None:
+    w = World()
+    out = w.feed(ev.ListTold(9, 5, False, (w.listed(9),), 10**15))
+    assert ev.StartWatch(True, 0) in out and 9 not in w.core.links
+    w.list(1, 9, revision=9)
+    assert set(w.core.links) == set(w.core.entries) == {1, 9}
+
+
+def test_an_older_word_of_the_list_is_passed_over() -> None:
+    w = World(nodes=1)
+    w.list(1, full=False, revision=2, status=api.NodeStatus.DRAINING)
+    w.feed(ev.ListTold(1, 0, False, (w.listed(1),), 10**15))
+    w.ask(1)
+    assert w.all(ev.SendOffer) == []
+
+
+def test_a_node_s_start_is_worked_out_once() -> None:
+    w = World(nodes=1)
+    for revision in (2, 3):
+        w.feed(ev.ListTold(revision, revision - 1, False, (w.listed(1, started=10**15 - 500),), 10**15))
+        w.now += 7
+    launched = w.core.entries[1].launched_us
+    assert launched == w.now - 14 - 500
+
+
+def test_a_table_of_nodes_is_bounded() -> None:
+    w = World(nodes=1, nodes_most=2)
+    w.list(1, 2, 3, revision=2)
+    assert set(w.core.links) == {1, 2}
+    assert any(r.event.startswith("node not taken") for r in w.all(ev.Report))
+
+
+def test_a_failed_list_is_asked_for_again() -> None:
+    w = World()
+    w.feed(ev.ListFailed())
+    w.wait(4 * SECOND)
+    assert ev.StartWatch(True, 1) in w.all(ev.StartWatch)
+
+
+# Owners
+
+
+def test_an_owner_gone_in_the_middle_leaves_nothing_open() -> None:
+    w = World()
+    open_one, running = w.offer(1), w.running(2)
+    w.said.clear()
+    w.feed(ev.OwnerLeft(1))
+    assert [(s.id, s.why) for s in w.all(ev.SendStop)] == [(open_one.id, ev.StopWhy.WITHDRAWN)]
+    assert w.core.open_tasks == 0 and w.all(ev.Tell) == []
+    w.feed(ev.NodeRefused(open_one.node, open_one.id, api.Reason.NOT_HERE))
+    assert list(w.core.attempts) == [running.id]  # what was placed runs on
+    w.feed(ev.OwnerCame(2, "o"))
+    assert w.words(session=2) == [ev.Found(0, 2, running.node)]
+    w.feed(ev.NodeEnded(running.node, running.id, api.Result.FINISHED, api.Reason.UNTOLD))
+    assert w.words(session=2)[1:] == [ev.EndedTask(0, 2, True, api.Reason.UNTOLD)]
+    assert w.empty()
+
+
+def test_two_asks_for_one_task() -> None:
+    w = World()
+    offer = w.offer(1)
+    w.ask(2, key=1)
+    (word,) = w.words(ev.Rejected)
+    assert (word.ask, word.rejection.code, word.rejection.field) == (2, "ALREADY_EXISTS", "task.key")
+    w.feed(ev.NodeRunning(offer.node, offer.id))
+    w.ask(3, key=1)  # it runs: found, not placed anew
+    assert w.words()[-1] == ev.Found(3, 1, offer.node) and len(w.all(ev.SendOffer)) == 1
+
+
+def test_two_owners_may_use_one_key() -> None:
+    w = World()
+    w.feed(ev.OwnerCame(2, "other"))
+    w.ask(1)
+    w.ask(1, session=2, owner="other")
+    assert len(w.all(ev.SendOffer)) == 2 and w.words(ev.Rejected) == []
+
+
+@pytest.mark.parametrize("after", ["ask", "accepted", "running"])
+def test_withdrawal(after: str) -> None:
+    w = World()
+    offer = w.offer(1)
+    if after != "ask":
+        w.feed(ev.NodeAccepted(offer.node, offer.id))
+    if after == "running":
+        w.feed(ev.NodeRunning(offer.node, offer.id))
+    w.feed(ev.Withdrawn(1, 1))
+    w.feed(ev.Withdrawn(1, 1))
+    assert w.all(ev.SendStop) == [ev.SendStop(offer.node, offer.id, ev.StopWhy.WITHDRAWN)]
+    if after == "running":
+        w.feed(ev.NodeEnded(offer.node, offer.id, api.Result.CANCELLED, api.Reason.UNTOLD))
+        assert w.words(ev.EndedTask) == [ev.EndedTask(1, 1, False, api.Reason.UNTOLD)]
+    else:
+        w.feed(ev.NodeRunning(offer.node, offer.id))  # the words cross
+        w.feed(ev.NodeEnded(offer.node, offer.id, api.Result.CANCELLED, api.Reason.UNTOLD))
+        assert w.words() == []
+    assert w.empty()
+
+
+def test_a_withdrawal_over_a_cut_is_said_again() -> None:
+    w = World(nodes=1)
+    offer = w.running(1)
+    w.feed(ev.LinkDown(1))
+    w.feed(ev.Withdrawn(1, 1))
+    assert w.all(ev.SendStop) == []
+    w.up(1, held=[ev.HeldTask(offer.id, offer.task, True)])
+    assert w.all(ev.SendStop) == [ev.SendStop(1, offer.id, ev.StopWhy.WITHDRAWN)]
+
+
+@pytest.mark.parametrize(
+    ("change", "field"),
+    [
+        ({"key": -1}, "task.key"),
+        ({"task_class": "nothing"}, "task.task_class"),
+        ({"tenant": "t9"}, "task.tenant"),
+        ({"service": 0}, "task.service"),
+        ({"cores": 0.0}, "task.cores"),
+        ({"cores": float("nan")}, "task.cores"),
+        ({"memory": float("inf")}, "task.memory"),
+        ({"cores": 17.0}, "task.cores"),
+        ({"memory": 33.0}, "task.memory"),
+    ],
+)
+def test_invalid_fields_are_named(change: dict, field: str) -> None:
+    w = World()
+    w.feed(ev.Asked(1, 1, replace(w.spec(1), **change), SECOND))
+    (word,) = w.words(ev.Rejected)
+    assert (word.rejection.code, word.rejection.field) == ("INVALID_ARGUMENT", field)
+    assert w.empty()
+
+
+@pytest.mark.parametrize(
+    ("ask", "wait", "field"), [(0, SECOND, "ask"), (1, 0, "wait_us"), (1, 10**12, "wait_us")]
+)
+def test_invalid_asks_are_named(ask: int, wait: int, field: str) -> None:
+    w = World()
+    w.feed(ev.Asked(1, ask, w.spec(1), wait))
+    assert w.words(ev.Rejected)[0].rejection.field == field
+
+
+@pytest.mark.parametrize(
+    ("bounds", "what"),
+    [
+        (Bounds(2, 60, 200, 60 * SECOND), "wait for their outcome here"),
+        (Bounds(100, 2, 200, 60 * SECOND), "of this owner"),
+        (Bounds(100, 60, 2, 60 * SECOND), "looked after"),
+    ],
+)
+def test_tables_are_bounded_and_say_when_to_come_back(bounds: Bounds, what: str) -> None:
+    w = World(bounds=bounds)
+    for n in (1, 2):
+        w.running(n) if bounds.attempts == 2 else w.offer(n)
+    w.ask(3)
+    (word,) = w.words(ev.Rejected)
+    assert word.rejection.code == "RESOURCE_EXHAUSTED" and what in word.rejection.message
+    assert word.rejection.retry_after_us > 0
+    assert BOUNDS.open_tasks == 100
+
+
+# Restart and leaving
+
+
+def test_a_restarted_planner_adopts_what_its_nodes_hold() -> None:
+    w = World(life=8)
+    w.feed(ev.LinkDown(1))
+    w.said.clear()
+    w.up(1, held=[held(w, 41), held(w, 42, "report", running=False), held(w, 43, owner="else")])
+    assert w.words() == [ev.Found(0, 41, 1), ev.Found(0, 42, 1)]
+    w.ask(1, "report", key=42)  # its owner asks again: it is found, not placed anew
+    assert w.words()[-1] == ev.Found(1, 42, 1) and w.all(ev.SendOffer) == []
+    w.feed(ev.LinkDown(1))
+    w.up(1, held=[held(w, 41), held(w, 42, "report")])  # told twice, counted once
+    assert len(w.core.attempts) == 2  # 43 is no longer held
+    for key in (41, 42):
+        w.feed(ev.NodeEnded(1, held(w, key).id, api.Result.FINISHED, api.Reason.UNTOLD))
+    assert [x.key for x in w.words(ev.EndedTask)] == [41, 42] and w.empty()
+
+
+def test_adopted_tasks_count_for_the_spread() -> None:
+    w = World(nodes=1, life=8)
+    w.up(1, held=[held(w, 41, "apart")])
+    w.ask(1, "apart")
+    assert w.all(ev.SendOffer) == []
+
+
+def test_a_held_copy_of_a_repeatable_task_that_is_placed_anew_is_stopped() -> None:
+    w = World(nodes=2, life=8)
+    running = w.running(1)
+    other = 3 - running.node
+    w.up(other, held=[held(w, 1)])
+    assert w.all(ev.SendStop) == [ev.SendStop(other, held(w, 1).id, ev.StopWhy.LEFT_OVER)]
+
+
+def test_a_held_task_of_an_unknown_class_is_left_alone() -> None:
+    w = World(nodes=1, life=8)
+    w.up(1, held=[held(w, 41, "retired")])
+    assert w.all(ev.SendStop) == [] and w.core.attempts == {}
+
+
+def test_leaving_takes_nothing_new_and_answers_what_is_owed() -> None:
+    w = World(stop_grace_us=SECOND)
+    running = w.offer(1)
+    risky = w.offer(2, "report")
+    w.feed(ev.StopAsked())
+    w.ask(3)
+    assert w.words(ev.Rejected)[0].rejection.code == "UNAVAILABLE"
+    w.feed(ev.NodeRunning(running.node, running.id))
+    assert not w.core.finished
+    w.wait(SECOND)
+    assert w.words(ev.FailedTask) == [ev.FailedTask(2, True)] and w.core.finished
+    assert risky.id in w.core.attempts  # what runs, runs on
+
+
+def test_a_clock_that_goes_back_is_no_time_at_all() -> None:
+    w = World()
+    w.offer(1)
+    later = w.core.now
+    w.core.handle(later - 5 * SECOND, ev.Due())
+    assert w.core.now == later
+
+
+def test_a_stall_is_one_late_batch() -> None:
+    """After a stall everything is due at once; each task still has exactly one outcome."""
+    w = World()
+    for n in range(1, 20):
+        w.ask(n, "report", service=n, wait=(1 + n % 3) * SECOND)
+    w.now += 30 * SECOND
+    w.feed(ev.Due())
+    outcomes = [x.ask for x in w.words() if isinstance(x, (ev.FailedTask, ev.RefusedTask))]
+    assert sorted(outcomes) == list(range(1, 20))
+
+
+def test_ten_thousand_held_tasks_at_a_full_fleet() -> None:
+    w = World(nodes=3, bounds=Bounds(20_000, 20_000, 20_000, 60 * SECOND))
+    for n in range(1, 4):
+        w.running(n, service=n, cores=16.0, memory=32.0)
+    w.said.clear()
+    for n in range(10, 10_010):
+        w.ask(n, service=n, cores=4.0, memory=4.0, wait=3 * SECOND)
+    assert w.core.open_tasks == 10_000
+    w.wait(4 * SECOND)
+    assert len(w.words(ev.RefusedTask)) == 10_000 and w.core.open_tasks == 0
+    assert len(w.core.placings) == 3
--- /dev/null
+++ b/tests/planner/world.py
@@ -0,0 +1,159 @@
+"""A core with hand-made nodes, list and owners: no sockets, no clock."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import Any
+
+from stairplank import interface as api
+from stairplank.planner import events as ev
+from stairplank.planner.admission import Bounds
+from stairplank.planner.core import Core, CoreConfig
+from stairplank.planner.events import AttemptId
+
+MS, SECOND = 1_000, 1_000_000
+CLASSES = (
+    api.TaskClass("worker", api.Effect.REPEATABLE, api.Scope.ALL, 0, SECOND, 6 * SECOND),
+    api.TaskClass("ingest", api.Effect.KEYED, api.Scope.GROUP, 8 * SECOND, SECOND, 6 * SECOND),
+    api.TaskClass("report", api.Effect.ONCE, api.Scope.ALL, 0, SECOND, 6 * SECOND),
+    api.TaskClass(
+        "apart",
+        api.Effect.REPEATABLE,
+        api.Scope.ALL,
+        0,
+        SECOND,
+        6 * SECOND,
+        spread=api.Scope.NODE,
+        spread_most=1,
+    ),
+)
+SETTINGS = api.Settings(
+    planners=1,
+    position=0,
+    zone=0,
+    classes=CLASSES,
+    kinds=(api.NodeKind("std", 16.0, 32.0),),
+    mean_cores=1.0,
+    mean_memory=2.0,
+    cores_limit=1.0,
+    memory_limit=1.0,
+    confirms_running=True,
+    preempts=False,
+    max_attempts=3,
+    answer_slack_us=50 * MS,
+    drain_grace_us=250 * MS,
+    cold_share=0.2,
+    cold_us=10 * SECOND,
+    fall_multiple=2.0,
+    fall_us=1500 * MS,
+    fresh_offers=40.0,
+    must_ask=True,
+    ask_within_us=10 * SECOND,
+    tick_us=10 * MS,
+    may_probe=True,
+    may_cancel=True,
+    max_retry_after_us=3 * SECOND,
+    price_probe=1.0,  # no probe with each task: the tests name what is to be sent
+    report_fields=("free_cores", "free_memory", "util"),
+)
+BOUNDS = Bounds(open_tasks=100, owner_open=60, attempts=200, wait_us=60 * SECOND)
+
+
+class World:
+    """Feeds a core; keeps what it says, and plays the timers as they fall due."""
+
+    def __init__(
+        self,
+        nodes: int = 3,
+        life: int = 7,
+        confirms_running: bool = True,
+        bounds: Bounds = BOUNDS,
+        **config: Any,
+    ) -> None:
+        settings = replace(SETTINGS, confirms_running=confirms_running)
+        core_config = CoreConfig(bounds, ("t1", "t2"), ("z1", "z2"), **config)
+        self.core = Core(settings, core_config, life, seed=5)
+        self.now = 1000 * SECOND
+        self.said: list[ev.Action] = list(self.core.start(self.now))
+        self.list(*range(1, nodes + 1))
+        for node in range(1, nodes + 1):
+            self.up(node)
+        self.feed(ev.OwnerCame(1, "o"))
+        self.said.clear()
+
+    def feed(self, event: ev.Event) -> list[ev.Action]:
+        actions = self.core.handle(self.now, event)
+        self.said += actions
+        return actions
+
+    def wait(self, us: int) -> list[ev.Action]:
+        """Let time pass, each timer at its time."""
+        until = self.now + us
+        out: list[ev.Action] = []
+        while (due := self.core.next_due()) is not None and due <= until:
+            self.now = max(self.now, due)
+            out += self.feed(ev.Due())
+        self.now = until
+        return out
+
+    def listed(
+        self, node: int, status: api.NodeStatus = api.NodeStatus.READY, started: int = 0
+    ) -> ev.ListedNode:
+        rack = f"r{(node - 1) // 2}"
+        return ev.ListedNode(
+            node, f"n{node}", (f"127.0.0.1:{node}",), "z1", rack, "std", status, 16.0, 32.0, started
+        )
+
+    def list(self, *nodes: int, full: bool = True, revision: int = 1, **changes: Any) -> list[ev.Action]:
+        entries = tuple(self.listed(n, **changes) for n in nodes)
+        return self.feed(ev.ListTold(revision, revision - 1, full, entries, 10**15))
+
+    def up(self, node: int, started: int = 0, draining: bool = False, held: Any = ()) -> list[ev.Action]:
+        out = self.feed(ev.LinkUp(node, started, draining))
+        return out + self.feed(ev.HeldTold(node, started, tuple(held)))
+
+    def spec(self, key: int, sort: str = "worker", **changes: Any) -> ev.TaskSpec:
+        return replace(ev.TaskSpec("o", key, sort, "", 5, 1.0, 2.0, 0, False), **changes)
+
+    def ask(
+        self,
+        n: int,
+        sort: str = "worker",
+        session: int = 1,
+        wait: int = 6 * SECOND,
+        key: int = 0,
+        **spec: Any,
+    ) -> list[ev.Action]:
+        return self.feed(ev.Asked(session, n, self.spec(key or n, sort, **spec), wait))
+
+    def offer(self, n: int, sort: str = "worker", **more: Any) -> ev.SendOffer:
+        (offer,) = [a for a in self.ask(n, sort, **more) if isinstance(a, ev.SendOffer)]
+        return offer
+
+    def running(self, n: int, sort: str = "worker", **more: Any) -> ev.SendOffer:
+        offer = self.offer(n, sort, **more)
+        self.feed(ev.NodeRunning(offer.node, offer.id))
+        return offer
+
+    def words(self, kind: type | None = None, session: int = 1) -> list[Any]:
+        """What the owner was told, progress left out."""
+        told = [a.word for a in self.said if isinstance(a, ev.Tell) and a.session == session]
+        if kind is None:
+            return [w for w in told if not isinstance(w, (ev.Taken, ev.Offered))]
+        return [w for w in told if isinstance(w, kind)]
+
+    def all(self, kind: type) -> list[Any]:
+        return [a for a in self.said if isinstance(a, kind)]
+
+    def empty(self) -> bool:
+        """Nothing is left of any task."""
+        core = self.core
+        sessions = [s for s in core.sessions.values() if s.asks or s.open]
+        tables = (core.placings, core.by_name, core.attempts, core.at_node, sessions)
+        return not any(tables) and core.open_tasks == 0
+
+
+def held(
+    world: World, key: int, sort: str = "worker", life: int = 3, running: bool = True, owner: str = "o"
+) -> Any:
+    return ev.HeldTask(AttemptId(life, key, 0), world.spec(key, sort, owner=owner), running)
--- /dev/null
+++ b/tests/rehearsal/tape.py
@@ -0,0 +1,242 @@
+"""Writes captures by hand: real HTTP/2 bytes of calls that never were, to plant breaches in."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Any
+
+import h2.config
+import h2.connection
+
+from stairplank.proto import common_pb2, directory_pb2, node_pb2, placement_pb2
+from stairplank.rehearsal import capture
+from stairplank.rehearsal.checker import Breach, Checker
+from stairplank.rehearsal.run import judge
+
+MS = 1_000
+SECOND = 1_000_000
+CLASSES = [
+    ("worker", "repeatable", "all", 0, "node", 1),
+    ("ingest", "keyed", "group", 8 * SECOND, "group", 3),
+    ("spread-all", "keyed", "all", 8 * SECOND, "none", 0),
+    ("report", "once", "all", 0, "zone", 2),
+]
+FACTS: dict[str, Any] = {
+    "classes": [
+        {
+            "name": name,
+            "effect": effect,
+            "scope": scope,
+            "window_us": window,
+            "deadline_us": 6 * SECOND,
+            "aim_us": SECOND,
+            "spread": spread,
+            "spread_most": most,
+        }
+        for name, effect, scope, window, spread, most in CLASSES
+    ],
+    "answer_slack_us": 50 * MS,
+    "drain_grace_us": 250 * MS,
+    "cold_us": 10 * SECOND,
+    "cold_share": 0.2,
+    "fall_us": 1500 * MS,
+    "fall_multiple": 2.0,
+    "fresh_offers": 5.0,
+    "max_attempts": 3,
+    "planners": 2,
+    "starts_per_s": {str(n): 2.0 for n in range(1, 9)},
+    "begin_us": 0,
+}
+
+
+class Tape:
+    """A capture being written; ``at`` is the time of the next message."""
+
+    def __init__(self, path: Path) -> None:
+        self.path = path
+        self.at = 100 * SECOND
+        self.file = path.open("wb")
+        self.writer = capture.Writer(self.file, FACTS)
+        self.links = 0
+
+    def link(self, to: str, path: str) -> Link:
+        self.links += 1
+        return Link(self, self.links, to, path)
+
+    def wait(self, us: int) -> None:
+        self.at += us
+
+    def judge(self) -> Checker:
+        self.file.close()
+        checker, problems, _ = judge(self.path)
+        assert not problems
+        return checker
+
+    def breaches(self) -> list[tuple[int, str]]:
+        return [(b.rule, b.clause) for b in self.judge().breaches]
+
+    def only(self) -> Breach:
+        (breach,) = self.judge().breaches
+        assert breach.evidence
+        return breach
+
+
+class Link:
+    """One connection with one call, both ends by h2."""
+
+    def __init__(self, tape: Tape, number: int, to: str, path: str) -> None:
+        self.tape, self.number = tape, number
+        tape.writer.write(capture.OPEN, tape.at, number, b'{"to": "%s"}' % to.encode())
+        self.near = h2.connection.H2Connection(h2.config.H2Configuration(client_side=True))
+        self.far = h2.connection.H2Connection(h2.config.H2Configuration(client_side=False))
+        self.near.initiate_connection()
+        self.far.initiate_connection()
+        headers = [(":method", "POST"), (":scheme", "http"), (":path", path), (":authority", "x")]
+        self.near.send_headers(1, [*headers, ("content-type", "application/grpc")])
+        self.flush()
+        self.far.send_headers(1, [(":status", "200"), ("content-type", "application/grpc")])
+        self.flush()
+
+    def flush(self) -> None:
+        for _ in range(2):
+            for end, other, kind in (
+                (self.near, self.far, capture.FROM_DIALLER),
+                (self.far, self.near, capture.FROM_LISTENER),
+            ):
+                data = end.data_to_send()
+                if data:
+                    self.tape.writer.write(kind, self.tape.at, self.number, data)
+                    other.receive_data(data)
+
+    def there(self, message: Any) -> None:
+        self._send(self.near, message)
+
+    def back(self, message: Any) -> None:
+        self._send(self.far, message)
+
+    def _send(self, end: Any, message: Any) -> None:
+        raw = message.SerializeToString()
+        end.send_data(1, b"\0" + len(raw).to_bytes(4, "big") + raw)
+        self.flush()
+        self.tape.wait(MS)
+
+    def close(self) -> None:
+        self.tape.writer.write(capture.DIALLER_CLOSED, self.tape.at, self.number)
+        self.tape.writer.write(capture.LISTENER_CLOSED, self.tape.at, self.number)
+
+
+def task(key: int, sort: str, service: int = 5) -> Any:
+    return common_pb2.Task(owner="o", key=key, task_class=sort, service=service, cores=1, memory=1)
+
+
+class Owner:
+    """An owner's stream to a planner."""
+
+    def __init__(self, tape: Tape, planner: int = 0, life: int = 70) -> None:
+        self.link = tape.link(f"planner {planner}", "/stairplank.v1.Placement/Place")
+        self.life = life
+        self.event = placement_pb2.PlaceEvent
+        self.request = placement_pb2.PlaceRequest
+        self.link.there(self.request(hello=self.request.Hello(owner="o")))
+        self.link.back(self.event(welcome=self.event.Welcome(planner=planner, life=life)))
+
+    def ask(
+        self, n: int, sort: str = "worker", wait: int = 6 * SECOND, key: int = 0, take: bool = True
+    ) -> None:
+        self.link.there(self.request(ask=self.request.Ask(ask=n, task=task(key or n, sort), wait_us=wait)))
+        if take:
+            self.tell("taken", n, placing=n)
+
+    def tell(self, kind: str, n: int, **fields: Any) -> None:
+        part = getattr(self.event, kind[0].upper() + kind[1:])(ask=n, **fields)
+        self.link.back(self.event(**{kind: part}))
+
+    def withdraw(self, n: int) -> None:
+        self.link.there(self.request(withdraw=self.request.Withdraw(ask=n)))
+
+
+class ToNode:
+    """A planner's link to a node."""
+
+    def __init__(
+        self,
+        tape: Tape,
+        node: int,
+        planner: int = 0,
+        life: int = 70,
+        started: int = 0,
+        draining: bool = False,
+    ) -> None:
+        self.node, self.life, self.tape = node, life, tape
+        self.link = tape.link(f"node {node}", "/stairplank.v1.Node/Offers")
+        self.event = node_pb2.OfferEvent
+        self.request = node_pb2.OfferRequest
+        self.link.there(self.request(hello=self.request.Hello(planner=planner, life=life)))
+        welcome = self.event.Welcome(node=node, started_unix_us=started, draining=draining)
+        self.link.back(self.event(welcome=welcome))
+
+    def id(self, placing: int, attempt: int, life: int | None = None) -> Any:
+        return common_pb2.AttemptId(life=life or self.life, placing=placing, attempt=attempt)
+
+    def offer(
+        self,
+        placing: int,
+        attempt: int = 0,
+        sort: str = "worker",
+        wait: int = 5 * SECOND,
+        service: int = 5,
+        key: int = 0,
+        life: int | None = None,
+    ) -> None:
+        offer = self.request.Offer(
+            id=self.id(placing, attempt, life), task=task(key or placing, sort, service), wait_us=wait
+        )
+        self.link.there(self.request(offer=offer))
+
+    def stop(self, placing: int, attempt: int = 0) -> None:
+        self.link.there(self.request(stop=self.request.Stop(id=self.id(placing, attempt))))
+
+    def says(self, kind: str, placing: int, attempt: int = 0, life: int | None = None, **fields: Any) -> None:
+        part = getattr(self.event, kind[0].upper() + kind[1:])
+        self.link.back(self.event(**{kind: part(id=self.id(placing, attempt, life), **fields)}))
+
+    def drains(self) -> None:
+        self.link.back(self.event(draining=self.event.Draining()))
+
+    def holds(self, placing: int, life: int, sort: str, service: int) -> None:
+        """Answer a Held call on the same connection."""
+        held = node_pb2.HeldResponse(node=self.node)
+        held.tasks.add(id=self.id(placing, 0, life), task=task(placing, sort, service), running=True)
+        headers = [(":method", "POST"), (":scheme", "http"), (":path", "/stairplank.v1.Node/Held")]
+        link = self.link
+        link.near.send_headers(3, [*headers, (":authority", "x"), ("content-type", "application/grpc")])
+        link.flush()
+        link.far.send_headers(3, [(":status", "200"), ("content-type", "application/grpc")])
+        raw = held.SerializeToString()
+        link.far.send_data(3, b"\0" + len(raw).to_bytes(4, "big") + raw)
+        link.flush()
+        self.tape.wait(MS)
+
+
+class List:
+    """A planner's subscription to the node list. Nodes 1 to 4 are in rack r1 of zone z1, 5 to 8 in r2 of z2."""
+
+    STATES = {"gone": 1, "draining": 2, "ready": 3}
+
+    def __init__(self, tape: Tape, planner: int = 0) -> None:
+        self.tape = tape
+        self.link = tape.link("list", "/stairplank.v1.Directory/Watch")
+        self.link.there(directory_pb2.WatchRequest(planner=planner))
+
+    def tells(self, *nodes: int, state: str = "ready", full: bool = False, started: int = 0) -> None:
+        message = directory_pb2.NodeList(revision=1, full=full, now_unix_us=self.tape.at + 5_000_000_000)
+        for node in nodes:
+            half = 1 if node <= 4 else 2
+            message.nodes.add(
+                id=node,
+                zone=f"z{half}",
+                rack=f"r{half}",
+                state=self.STATES[state],
+                started_unix_us=started + 5_000_000_000 if started else 0,
+            )
+        self.link.back(message)
--- /dev/null
+++ b/tests/standin/test_standins.py
@@ -0,0 +1,339 @@
+"""The stand-ins' own behaviour, without sockets."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+
+from stairplank import interface as api
+from stairplank.planner import events as ev
+from stairplank.planner.events import AttemptId, ListedNode, TaskSpec
+from stairplank.standin.directory import Directory, DirectoryModel
+from stairplank.standin.node import Copies, Fell, Node, NodeModel, Probed, Said, SaidDraining
+from stairplank.standin.owner import Ask, Demand, Owner, OwnerModel, Stand, Withdraw
+from stairplank.standin.script import parse
+
+MS, SECOND = 1_000, 1_000_000
+MODEL = NodeModel(1, "n1", "std", "a", "r", 4.0, 8.0, look_us=(MS, MS), start_us=50 * MS, starts_at_once=1)
+
+
+class Host:
+    """One node, advanced by hand."""
+
+    def __init__(self, copies: Copies | None = None, cold: bool = False, **model: object) -> None:
+        self.now = 1000 * SECOND
+        self.node = Node(replace(MODEL, **model), copies or Copies(), 3, self.now, cold)  # type: ignore[arg-type]
+        self.said: list = []
+        self.life = 7
+
+    def offer(
+        self, key: int, wait: int = 60 * SECOND, priority: int = 0, window: int = 0, **task: object
+    ) -> AttemptId:
+        id = AttemptId(self.life, key, 0)
+        spec = TaskSpec("o", key, "worker", "", 5, 1.0, 1.0, SECOND, False)
+        spec = replace(spec, **task)  # type: ignore[arg-type]
+        self.said += self.node.offer(self.now, 0, id, spec, wait, priority, window)
+        return id
+
+    def wait(self, us: int) -> None:
+        self.now += us
+        self.said += self.node.advance(self.now)
+
+    def words(self, id: AttemptId) -> list[str]:
+        return [s.what for s in self.said if isinstance(s, Said) and s.id == id and s.what != "usage"]
+
+    def reason(self, id: AttemptId) -> api.Reason:
+        return [s for s in self.said if isinstance(s, Said) and s.id == id][-1].reason
+
+
+def test_a_task_s_life_at_a_node() -> None:
+    h = Host()
+    id = h.offer(1)
+    h.wait(10 * MS)
+    assert h.words(id) == ["accepted"] and h.node.free() == (3.0, 7.0)
+    h.wait(5 * SECOND)
+    assert h.words(id) == ["accepted", "running", "ended"] and h.node.free() == (4.0, 8.0)
+    assert h.node.next_due() is None
+
+
+def test_starts_from_nothing_take_longer() -> None:
+    h = Host()
+    first = h.offer(1)
+    h.wait(100 * MS)
+    assert "running" not in h.words(first)
+    h.wait(400 * MS)
+    assert "running" in h.words(first)
+    second = h.offer(2)
+    h.wait(100 * MS)
+    assert "running" in h.words(second)
+
+
+@pytest.mark.parametrize(
+    ("task", "reason"),
+    [({"cores": 5.0}, api.Reason.NO_CORES), ({"memory": 9.0}, api.Reason.NO_MEMORY)],
+)
+def test_no_room(task: dict, reason: api.Reason) -> None:
+    h = Host()
+    id = h.offer(1, **task)
+    h.wait(10 * MS)
+    assert h.words(id) == ["refused"] and h.reason(id) is reason
+
+
+def test_only_so_many_offers_wait_and_late_ones_are_handed_back() -> None:
+    h = Host(waiting_most=2, look_us=(50 * MS, 50 * MS))
+    ids = [h.offer(n) for n in (1, 2, 3)]
+    assert h.words(ids[2]) == ["refused"] and h.reason(ids[2]) is api.Reason.QUEUE_FULL
+    late = Host(look_us=(50 * MS, 50 * MS))
+    id = late.offer(1, wait=20 * MS)
+    late.wait(100 * MS)
+    assert late.words(id) == ["refused"] and late.reason(id) is api.Reason.NOT_HERE
+
+
+def test_a_drain_sends_all_away_and_says_so() -> None:
+    h = Host(starts_at_once=1)
+    runs, starts = h.offer(1, life_us=0), None
+    h.wait(500 * MS)
+    starts, accepted = h.offer(2, service=6), h.offer(3, service=7)
+    h.wait(10 * MS)
+    waits = h.offer(4)
+    h.said += h.node.drain(h.now)
+    assert SaidDraining() in h.said
+    assert h.words(runs)[-1] == "ended" and h.reason(runs) is api.Reason.SENT_AWAY
+    assert h.words(starts)[-1] == "ended" and h.words(accepted)[-1] == "refused"
+    assert h.words(waits)[-1] == "refused" and h.node.free() == (4.0, 8.0)
+    assert h.words(h.offer(5)) == ["refused"]
+
+
+def test_stops_end_what_runs_and_hand_back_what_has_not_begun() -> None:
+    h = Host()
+    runs = h.offer(1, life_us=0)
+    h.wait(500 * MS)
+    waits = h.offer(2)
+    for id in (runs, waits, AttemptId(9, 9, 9)):
+        h.said += h.node.stop(h.now, id)
+    assert h.words(runs)[-1] == "ended" and h.words(waits) == ["refused"]
+
+
+def test_one_keyed_copy_stands_in_a_group() -> None:
+    copies = Copies()
+    a, b = Host(copies), Host(copies)
+    b.life = 8
+    first = a.offer(1, window=8 * SECOND)
+    a.wait(10 * MS)
+    b.now = a.now
+    repeat = b.offer(1, window=8 * SECOND)
+    b.wait(10 * MS)
+    assert a.words(first) == ["accepted"] and b.words(repeat) == ["refused"]
+    a.wait(3 * SECOND)  # it finished; within the window repeats are dropped still
+    b.now = a.now
+    again = b.offer(1, window=8 * SECOND)
+    b.wait(10 * MS)
+    assert b.words(again)[-1] == "refused"
+    b.now += 6 * SECOND
+    later = b.offer(1, window=8 * SECOND)
+    b.wait(10 * MS)
+    assert b.words(later)[-1] == "accepted"
+
+
+def test_lower_priorities_are_pushed_out() -> None:
+    h = Host(preempts=True)
+    low = [h.offer(n, cores=2.0, life_us=0, service=n) for n in (1, 2)]
+    h.wait(2 * SECOND)
+    high = h.offer(3, cores=3.0, priority=1)
+    h.wait(10 * MS)
+    assert [h.reason(i) for i in low] == [api.Reason.PUSHED_OUT] * 2 and h.words(high) == ["accepted"]
+    equal = h.offer(4, cores=3.0, priority=1)
+    h.wait(10 * MS)
+    assert h.words(equal) == ["refused"]
+
+
+def test_a_cold_node_is_slow_and_falls_over_when_pushed() -> None:
+    h = Host(cold=True, fresh_offers=5)
+    id = h.offer(1)
+    h.wait(SECOND)
+    assert "running" not in h.words(id)
+    for n in range(2, 30):  # 17 are borne: twice what it can start within 1.5 s at a third of its pace
+        h.offer(n)
+    assert any(isinstance(w, Fell) for w in h.said) and h.node.down
+    assert h.words(h.offer(20)) == [] and h.node.next_due() is None
+    warm = Host(cold=False, fresh_offers=5)
+    for n in range(1, 30):
+        warm.offer(n)
+    assert not warm.node.down
+
+
+def test_faults_at_a_node() -> None:
+    h = Host()
+    h.node.failing = 1.0
+    id = h.offer(1)
+    h.wait(SECOND)
+    assert h.words(id) == ["accepted", "error"] and h.node.free() == (4.0, 8.0)
+    h.node.refusing = 1.0
+    other = h.offer(2)
+    h.wait(SECOND)
+    assert h.words(other) == ["refused"] and h.reason(other) is api.Reason.UNTOLD
+
+
+def test_probes_share_the_line() -> None:
+    h = Host(look_us=(50 * MS, 50 * MS))
+    h.offer(1, life_us=0)
+    h.said += h.node.probe(h.now, 9)
+    assert not [w for w in h.said if isinstance(w, Probed)]
+    h.wait(101 * MS)
+    assert [w for w in h.said if isinstance(w, Probed)] == [Probed(9, 3.0, 7.0, 0.25)]
+
+
+# The node list
+
+
+def entry(id: int, status: api.NodeStatus = api.NodeStatus.READY, started: int = 0) -> ListedNode:
+    return ListedNode(id, f"n{id}", ("127.0.0.1:1",), "a", "r", "std", status, 1.0, 1.0, started)
+
+
+def test_the_list_is_late_and_later_by_script() -> None:
+    d = Directory(DirectoryModel(notice_us=SECOND, silent_us=3 * SECOND, period_us=0))
+    d.announced(0, entry(1))
+    assert not d.advance(900 * MS) and d.whole() == ()
+    assert d.advance(SECOND) and d.whole() == (entry(1),)
+    d.behind_us = 5 * SECOND
+    d.announced(2 * SECOND, entry(1, api.NodeStatus.DRAINING))
+    assert not d.advance(7 * SECOND) and d.advance(8 * SECOND)
+
+
+def test_silent_nodes_are_taken_off_and_come_back() -> None:
+    d = Directory(DirectoryModel(notice_us=0, silent_us=3 * SECOND, period_us=0))
+    d.announced(0, entry(1, started=5))
+    d.advance(0)
+    d.fell_silent(SECOND, 1)
+    d.announced(2 * SECOND, entry(1, started=9))  # back in time
+    d.advance(10 * SECOND)
+    assert [n.started_unix_us for n in d.whole()] == [9]
+    d.announced(10 * SECOND, entry(1, started=5))  # an old word that came late
+    d.advance(10 * SECOND)
+    assert [n.started_unix_us for n in d.whole()] == [9]
+    d.fell_silent(10 * SECOND, 1)
+    d.advance(14 * SECOND)
+    assert d.whole() == () and d.changes_since(d.revision - 1)[0].status is api.NodeStatus.GONE  # type: ignore[index]
+
+
+def test_changes_build_on_revisions_until_too_many_were_missed() -> None:
+    d = Directory(DirectoryModel(notice_us=0, period_us=0), revision=100)
+    for i in range(600):
+        d.announced(i, entry(1 + i % 3))
+        d.advance(i)
+    assert d.revision == 700 and d.changes_since(700) == ()
+    assert len(d.changes_since(690) or ()) == 3
+    assert d.changes_since(101) is None and d.changes_since(0) is None and d.changes_since(9999) is None
+
+
+# Owners
+
+
+CLASSES = (
+    api.TaskClass("worker", api.Effect.REPEATABLE, api.Scope.ALL, 0, SECOND, 6 * SECOND),
+    api.TaskClass("report", api.Effect.ONCE, api.Scope.ALL, 0, SECOND, 6 * SECOND),
+)
+
+
+def owner(sort: str, total: int = 1) -> Owner:
+    demand = Demand(sort, 1.0, ((1.0, 1.0),), (SECOND, SECOND), (1, 1), 5, 5)
+    made = Owner(OwnerModel("o", 10.0, (demand,), CLASSES, 1, total=total), 3, 0)
+    made.connected(0, 0)
+    return made
+
+
+def first_ask(o: Owner) -> Ask:
+    (ask,) = o.advance(0)
+    assert isinstance(ask, Ask)
+    return ask
+
+
+def test_an_owner_asks_again_until_it_gives_up() -> None:
+    o = owner("worker")
+    ask = first_ask(o)
+    now = 1 * SECOND
+    tries = 1
+    while o.tasks:
+        o.heard(now, 0, ev.RefusedTask(ask.ask, 0, api.Reason.UNTOLD))
+        now = (o.next_due() or now) + 1
+        for do in o.advance(now):
+            assert isinstance(do, Ask) and do.task.again and do.task.key == ask.task.key and do.ask != ask.ask
+            ask, tries = do, tries + 1
+    assert tries > 5 and o.tally.counts["given_up"] == 1 and o.idle
+
+
+@pytest.mark.parametrize(("sort", "least"), [("worker", SECOND), ("report", 3 * SECOND)])
+def test_what_may_run_is_waited_for(sort: str, least: int) -> None:
+    o = owner(sort)
+    ask = first_ask(o)
+    o.heard(2 * SECOND, 0, ev.FailedTask(ask.ask, True))
+    assert least <= (o.next_due() or 0) - 2 * SECOND <= 3 * SECOND
+
+
+def test_a_task_that_is_found_is_not_asked_for_again() -> None:
+    o = owner("report")
+    ask = first_ask(o)
+    o.heard(2 * SECOND, 0, ev.FailedTask(ask.ask, True))
+    assert o.heard(3 * SECOND, 0, ev.Found(0, ask.task.key, 4)) == []
+    assert o.advance(100 * SECOND) == [] and o.tasks[ask.task.key].stand is Stand.RUNNING
+    o.heard(101 * SECOND, 0, ev.EndedTask(0, ask.task.key, True, api.Reason.UNTOLD))
+    assert not o.tasks
+
+
+def test_a_copy_that_is_not_needed_is_withdrawn() -> None:
+    o = owner("worker")
+    ask = first_ask(o)
+    o.heard(2 * SECOND, 0, ev.PlacedAt(ask.ask, 1, 0, 5))
+    assert o.heard(3 * SECOND, 1, ev.Found(0, ask.task.key, 4)) == [Withdraw(1, 0, ask.task.key)]
+    assert o.heard(3 * SECOND, 1, ev.Found(0, 999, 4)) == [Withdraw(1, 0, 999)]
+
+
+def test_a_planner_that_is_gone_leaves_its_tasks_unsure() -> None:
+    o = owner("report")
+    ask = first_ask(o)
+    o.heard(2 * SECOND, 0, ev.PlacedAt(ask.ask, 1, 0, 5))
+    o.cut(3 * SECOND, 0)
+    assert o.advance(20 * SECOND) == []
+    o.connected(21 * SECOND, 0)
+    (again,) = o.advance(24 * SECOND) or o.advance(25 * SECOND)
+    assert isinstance(again, Ask) and again.task.key == ask.task.key and o.tally.counts["vanished"] == 1
+
+
+@pytest.mark.parametrize(
+    "line",
+    [
+        "10s nodes 20% fail-starts 60% for 12s",
+        "10s nodes other 2 drain",
+        "10s node 3 4 lose-answers 25% reset for 1s",
+        "1500ms list behind 4s for 10s",
+        "1s planner 0 1 kill for 3s",
+        "1s demand 2.5 for 6s",
+        "1s owners restart-services 30% 500ms",
+    ],
+)
+def test_script_lines(line: str) -> None:
+    fault = parse(line.split())
+    assert fault.at_us >= SECOND
+    if fault.which or fault.target not in ("node", "planner"):
+        assert parse(fault.line().split()[1:]) == fault
+
+
+@pytest.mark.parametrize(
+    ("line", "says"),
+    [
+        ("10s", "is needed"),
+        ("soon node 1 drain", "not a time"),
+        ("1s moon full", "no target 'moon'"),
+        ("1s node drain", "number of the node"),
+        ("1s nodes drain", "how many nodes"),
+        ("1s node 1 explode", "no fault 'explode'"),
+        ("1s node 1 drain now", "one word too many"),
+        ("1s node 1 kill", "for TIME"),
+        ("1s node 1 slow for 3s", "needs|is not a number"),
+        ("1s nodes 20% fail-starts 160% for 1s", "at most 100"),
+    ],
+)
+def test_bad_script_lines(line: str, says: str) -> None:
+    with pytest.raises(ValueError, match=says):
+        parse(line.split())
