--- a/stairplank/planner/daemon.py
+++ b/stairplank/planner/daemon.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import gc
 import os
 import signal
 import time
@@ -57,6 +58,8 @@
         self.call: Any = None
         self.sent: deque[tuple[int, AttemptId | None]] = deque()  # number of the message; the offer's attempt
         self.closing = False
+        self._probe = 0
+        self._probes: dict[int, int] = {}  # under way: number, when asked
         self.greenlet = gevent.spawn(self._run)
 
     def _run(self) -> None:
@@ -107,6 +110,8 @@
         taken = 0
         while (message := self.call.recv()) is not None:
             event = convert.node_event(self.node, message)
+            if event is None and message.WhichOneof("kind") == "sampled":
+                event = self._sampled(message.sampled)
             if event is not None:
                 self.daemon.feed(event)
             taken += 1
@@ -126,6 +131,28 @@
             self.sent.popleft()
         return True
 
+    def probe(self) -> bool:
+        """Ask for the node's report; its answer, or that there was none in time, goes to the core."""
+        self._probe += 1
+        number = self._probe
+        if not self.send(node_pb2.OfferRequest(probe=node_pb2.OfferRequest.Probe(probe=number)), None):
+            return False
+        self._probes[number] = now_us()
+        gevent.spawn_later(self.daemon.config.probe_timeout_us / 1e6, self._probe_over, number)
+        return True
+
+    def _sampled(self, sampled: Any) -> ev.Event | None:
+        began = self._probes.pop(sampled.probe, None)
+        if began is None:
+            return None  # it came too late
+        report = (sampled.report.free_cores, sampled.report.free_memory, sampled.report.util)
+        return ev.ProbeTold(self.node, True, now_us() - began, report)
+
+    def _probe_over(self, number: int) -> None:
+        began = self._probes.pop(number, None)
+        if began is not None:
+            self.daemon.feed(ev.ProbeTold(self.node, False, now_us() - began))
+
     def unsent(self) -> frozenset[AttemptId]:
         """Attempts of which not one byte was handed to the connection."""
         if self.call is None:
@@ -197,6 +224,11 @@
         """Serve until SIGTERM or SIGINT; the exit code."""
         handlers = [gevent.signal_handler(s, self.stop) for s in (signal.SIGTERM, signal.SIGINT)]
         self.start()
+        # What start-up made stays for good: the collector need not look at it again and again, nor at the
+        # short-lived messages of each task more than now and then (its pauses are felt as late answers).
+        gc.collect()
+        gc.freeze()
+        gc.set_threshold(20_000, 20, 50)
         self._stop.wait()
         clean = self._leave()
         for handler in handlers:
@@ -278,7 +310,7 @@
                 case ev.AskHeld():
                     gevent.spawn(self._ask_held, action.node)
                 case ev.ProbeNode():
-                    gevent.spawn(self._probe, action.node)
+                    self._probe(action.node)
                 case ev.StartWatch():
                     if self._watch is not None:
                         self._watch.kill(block=False)
@@ -402,15 +434,9 @@
             self.feed(convert.held_from(node, told))
 
     def _probe(self, node: int) -> None:
-        began = now_us()
-        request = node_pb2.ProbeRequest(planner=self.position)
-        try:
-            told = self._unary(node, "Probe", request, node_pb2.ProbeResponse, self.config.probe_timeout_us)
-        except RpcError:
-            self.feed(ev.ProbeTold(node, False, now_us() - began))
-            return
-        report = (told.report.free_cores, told.report.free_memory, told.report.util)
-        self.feed(ev.ProbeTold(node, True, now_us() - began, report))
+        link = self.links.get(node)
+        if link is None or not link.probe():
+            self._pending.append(ev.ProbeTold(node, False, 0))
 
     # The node list
 
--- a/stairplank/rehearsal/checker.py
+++ b/stairplank/rehearsal/checker.py
@@ -431,7 +431,7 @@
         if kind == "draining":
             self.own_word.setdefault((life, node), (m.at, m))
             return
-        if kind is None or kind == "usage":
+        if kind in (None, "usage", "sampled"):
             return
         id = _id(getattr(m.body, kind).id)
         sent = self.offers.get((node, id))
--- a/stairplank/rehearsal/relay.py
+++ b/stairplank/rehearsal/relay.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 import gevent
+from gevent.event import Event as Flag
 
 from ..planner.daemon import now_us
 from ..rpc import address
@@ -21,6 +22,8 @@
         self.target = target
         self.listener, self.address = address.listen("127.0.0.1:0")
         self.pairs: set[tuple[Any, Any]] = set()
+        self.passing = Flag()  # cleared while the path is cut: bytes wait, as on a network that drops them
+        self.passing.set()
         gevent.spawn(self._accept)
 
     def _accept(self) -> None:
@@ -29,9 +32,24 @@
                 sock, _ = self.listener.accept()
             except OSError:
                 return
+            if not self.passing.is_set():
+                gevent.spawn(self._join_later, sock)
+                continue
             sock.setsockopt(gevent.socket.IPPROTO_TCP, gevent.socket.TCP_NODELAY, 1)
             gevent.spawn(self._join, sock)
 
+    def _join_later(self, near: Any) -> None:
+        """A dial over a cut path: nothing is heard; one that waits on gets through after the cut."""
+        self.passing.wait()
+        self._join(near)
+
+    def block(self, on: bool) -> None:
+        """Cut the path, or let it pass again: nothing is lost that was written, nothing comes through."""
+        if on:
+            self.passing.clear()
+        else:
+            self.passing.set()
+
     def _join(self, near: Any) -> None:
         try:
             far = address.dial(self.target, 5.0)
@@ -50,7 +68,13 @@
         write = self.recorder.writer.write
         try:
             while data := source.recv(65_536):
-                write(kind, now_us(), link, data)
+                # What a dialler sends counts from then on; what it is told, from when it gets through.
+                if kind == capture.FROM_DIALLER:
+                    write(kind, now_us(), link, data)
+                    self.passing.wait()
+                else:
+                    self.passing.wait()
+                    write(kind, now_us(), link, data)
                 sink.sendall(data)
         except OSError:
             pass
@@ -84,10 +108,10 @@
         self.relays: dict[str, Relay] = {}
         self.links = 0
 
-    def relay(self, name: str, target: str) -> str:
-        """Put a relay in front of an address; where to dial instead."""
-        self.relays[name] = Relay(self, name, target)
-        return self.relays[name].address
+    def relay(self, name: str, target: str, key: str = "") -> str:
+        """Put a relay in front of an address; where to dial instead. ``key`` names it among several."""
+        made = self.relays[key or name] = Relay(self, name, target)
+        return made.address
 
     def opened(self, name: str) -> int:
         self.links += 1
--- a/stairplank/rehearsal/run.py
+++ b/stairplank/rehearsal/run.py
@@ -132,12 +132,20 @@
         scenario = self.scenario
         room = lines_for(scenario, names(ROOM), {"class"})
         common = [f"begin {self.begin_us}", f"seed {scenario.seed}"]
-        real = self._socket("list")
-        listed = recorder.relay("list", real)
-        lines = lines_for(scenario, names(LIST), set())
-        self._child("list", "directory", [*lines, *common, f"listen {real}", *self._faults("list")])
-
-        lines = [*room, *lines_for(scenario, names(MODEL), set()), *common, f"directory {real}"]
+        zones = scenario.room.zones
+        lists: dict[str, str] = {}
+        # Each zone has a node list of its own, which gives its planners addresses of their own: so the links
+        # between two zones can be cut without touching the others.
+        directories: list[str] = []
+        for zone in zones:
+            real = self._socket(f"list-{zone}")
+            lists[zone] = recorder.relay("list", real, key=f"list {zone}")
+            directories.append(f"directory {real} {zone}")
+            lines = lines_for(scenario, names(LIST), set())
+            lines += [*common, f"listen {real}", *self._faults("list")]
+            self._child(f"list {zone}", "directory", lines)
+
+        lines = [*room, *lines_for(scenario, names(MODEL), set()), *common, *directories]
         for node in scenario.nodes:
             model = node.model
             here = self._socket(f"n{model.id}")
@@ -147,10 +155,12 @@
                 f"  zone {model.zone}",
                 f"  rack {model.rack}",
                 f"  listen {here}",
-                f"  advertise {recorder.relay(f'node {model.id}', here)}",
                 *(["  absent yes"] if node.absent else []),
-                "end",
             ]
+            for zone in zones:
+                there = recorder.relay(f"node {model.id}", here, key=f"node {model.id} {zone}")
+                lines.append(f"  advertise {there} {zone}")
+            lines.append("end")
         self._child("nodes", "node", [*lines, *self._faults("node")])
 
         owners = [*room, *lines_for(scenario, names(OWNERS), {"demand"}), *common]
@@ -159,7 +169,9 @@
         for i in range(scenario.planners):
             here = self._socket(f"p{i}")
             lines = [*room, *lines_for(scenario, set(PLANNER_KEYS), set())]
-            lines += [f"planner {i} of {scenario.planners}", f"listen {here}", f"directory {listed}"]
+            zone = zones[i % len(zones)]
+            lines += [f"planner {i} of {scenario.planners}", f"listen {here}"]
+            lines += [f"home-zone {zone}", f"directory {lists[zone]}"]
             self._child(f"planner {i}", "planner", lines)
             owners.append(f"planner {i} {recorder.relay(f'planner {i}', here)}")
         owners += [f"owner owner-{i}" for i in range(scenario.owners)]
@@ -186,9 +198,11 @@
             recorder = Recorder(capture.Writer(file, facts))
             try:
                 self._prepare(recorder)
-                for name in ("list", "nodes"):
+                zones = scenario.room.zones
+                for name in (*(f"list {zone}" for zone in zones), "nodes"):
                     self.children[name].start()
-                self._await_sockets(["list", *(f"n{n.model.id}" for n in scenario.nodes if not n.absent)])
+                first = [f"list-{zone}" for zone in zones]
+                self._await_sockets([*first, *(f"n{n.model.id}" for n in scenario.nodes if not n.absent)])
                 for i in range(scenario.planners):
                     self.children[f"planner {i}"].start()
                 self._await_sockets([f"p{i}" for i in range(scenario.planners)])
@@ -256,11 +270,26 @@
                 gevent.spawn(self._planner_fault, fault, i, recorder)
         elif fault.target == "node" and fault.what == "cut":
             for i in fault.which:
-                recorder.relays[f"node {i}"].cut()
+                for zone in self.scenario.room.zones:
+                    recorder.relays[f"node {i} {zone}"].cut()
+        between = self._between(fault.name) if fault.target == "zone" else []
+        for key in between:
+            recorder.relays[key].block(True)
         if fault.for_us:
             gevent.sleep(fault.for_us / 1e6)
+            for key in between:
+                recorder.relays[key].block(False)
             recorder.note(f"over: {text}")
 
+    def _between(self, cut: str) -> list[str]:
+        """The relays between a zone and the others."""
+        return [
+            f"node {n.model.id} {zone}"
+            for n in self.scenario.nodes
+            for zone in self.scenario.room.zones
+            if (zone == cut) != (n.model.zone == cut)
+        ]
+
     def _planner_fault(self, fault: Fault, i: int, recorder: Recorder) -> None:
         child = self.children[f"planner {i}"]
         if fault.what == "cut":
--- a/stairplank/rehearsal/scenario.py
+++ b/stairplank/rehearsal/scenario.py
@@ -133,6 +133,8 @@
     out: list[Fault] = []
     problems: list[Problem] = []
     for fault in faults:
+        if fault.target == "zone" and (fault.name,) not in section.all("zone"):
+            problems.append(Problem(section.place("at"), "at", f"no zone {fault.name}"))
         if fault.target not in ("node", "planner"):
             out.append(fault)
             continue
--- a/stairplank/standin/config.py
+++ b/stairplank/standin/config.py
@@ -64,13 +64,13 @@
         Key("zone", (v.name,), True),
         Key("rack", (v.name,), True),
         Key("listen", (v.address,), True, True),
-        Key("advertise", (v.address,), False, True),
+        Key("advertise", (v.address,), False, True, rest=v.name),  # for one directory, by its name
         Key("absent", (v.flag,)),
         Key("cold", (v.flag,)),
     ),
     True,
 )
-FARM = ROOM + COMMON + MODEL + (NODE, Key("directory", (v.address,)))
+FARM = ROOM + COMMON + MODEL + (NODE, Key("directory", (v.address,), False, True, rest=v.name))
 LISTING = COMMON + LIST + (Key("listen", (v.address,), True, True),)
 CROWD = (
     ROOM
@@ -88,7 +88,7 @@
 class NodeConfig:
     model: NodeModel
     listen: tuple[str, ...]
-    advertise: tuple[str, ...]
+    advertise: dict[str, tuple[str, ...]]  # by the directory's name
     absent: bool
     cold: bool
 
@@ -96,7 +96,7 @@
 @dataclass(frozen=True)
 class FarmConfig:
     nodes: tuple[NodeConfig, ...]
-    directory: str | None
+    directories: tuple[tuple[str, str], ...]  # address and name
     seed: int
     begin_us: int | None
     faults: tuple[Fault, ...]
@@ -188,11 +188,15 @@
         if zone not in room.zones:
             problems.append(Problem(block.place("zone"), "zone", f"no zone {zone}"))
         listen = tuple(a for (a,) in block.all("listen"))
+        advertise: dict[str, tuple[str, ...]] = {}
+        for address, *rest in block.all("advertise"):
+            label = rest[0] if rest else ""
+            advertise[label] = (*advertise.get(label, ()), address)
         nodes.append(
             NodeConfig(
                 model_from(room, section, id, name, kind, zone, block.one("rack")),
                 listen,
-                tuple(a for (a,) in block.all("advertise")),
+                advertise,
                 block.one("absent", False),
                 block.one("cold", False),
             )
@@ -201,7 +205,7 @@
         raise SettingsError(problems)
     return FarmConfig(
         tuple(nodes),
-        section.one("directory"),
+        tuple((a, rest[0] if rest else "") for a, *rest in section.all("directory")),
         section.one("seed", 1),
         section.one("begin"),
         faults_from(section),
--- a/stairplank/standin/crowd.py
+++ b/stairplank/standin/crowd.py
@@ -144,7 +144,7 @@
         self.log.info("fault", what=fault.what, values=list(fault.values))
         for customer in self.customers:
             if fault.what == "times":
-                customer.owner.factor = fault.values[0]
+                customer.owner.factor *= fault.values[0]
             elif fault.what == "restart-services":
                 customer.do(customer.owner.restart_services(now_us(), *fault.values))
             elif fault.what == "cut":
@@ -153,7 +153,7 @@
         if fault.for_us:
             gevent.sleep(fault.for_us / 1e6)
             for customer in self.customers:
-                customer.owner.factor = 1.0
+                customer.owner.factor /= fault.values[0]
 
     @property
     def idle(self) -> bool:
--- a/stairplank/standin/farm.py
+++ b/stairplank/standin/farm.py
@@ -68,7 +68,9 @@
         self.silent = False
         self.hung = Flag()
         self.hung.set()  # set: it does not hang
-        self.announcing: Any = None
+        self.pausing = False
+        self.changed = 0
+        self.announcing: list[Any] = []
         self.wake = Flag()
         self.addresses: tuple[str, ...] = config.listen
 
@@ -81,7 +83,7 @@
         self.server = Server(self.addresses, handlers)
         self.addresses = self.server.addresses
         self.server.start()
-        self.announcing = gevent.spawn(self.announce)
+        self.announcing = [gevent.spawn(self.announce, *d) for d in self.farm.config.directories]
         gevent.spawn(self.clock, self.node)
 
     def kill(self) -> None:
@@ -91,8 +93,7 @@
             for name, id in list(node.copies.standing.items()):
                 if id in node.held:
                     del node.copies.standing[name]  # its copies are gone with it
-        if self.announcing is not None:
-            self.announcing.kill(block=False)
+        gevent.killall(self.announcing, block=False)
         if self.server is not None:
             self.server.stop()
         self.calls.clear()
@@ -106,6 +107,7 @@
             due = node.next_due()
             left = None if due is None else max(0, due - now_us()) / 1e6
             self.wake.wait(left)
+            self.hung.wait()
             if self.node is node:
                 self.say(node.advance(now_us()))
 
@@ -119,7 +121,11 @@
                         self.put(call, _EVENT(draining=_EVENT.Draining()))
                 case Probed():
                     waiting = self.probes.pop(word.token, None)
-                    if waiting is not None:
+                    if isinstance(waiting, tuple):
+                        call, number = waiting
+                        sampled = _EVENT.Sampled(probe=number, report=self.report(word))
+                        self.put(call, _EVENT(sampled=sampled))
+                    elif waiting is not None:
                         waiting.set(word)
                 case Fell():
                     self.farm.log.warning(
@@ -162,12 +168,16 @@
         try:
             while (request := call.recv()) is not None:
                 self.hung.wait()
-                self.take(self.living(), planner, request)
+                self.take(self.living(), call, planner, request)
         finally:
             if self.calls.get(planner) is call:
                 del self.calls[planner]
 
-    def take(self, node: Node, planner: int, request: Any) -> None:
+    @staticmethod
+    def report(told: Probed) -> Any:
+        return common_pb2.Report(free_cores=told.free_cores, free_memory=told.free_memory, util=told.util)
+
+    def take(self, node: Node, call: ServerCall, planner: int, request: Any) -> None:
         match request.WhichOneof("kind"):
             case "offer":
                 offer = request.offer
@@ -184,6 +194,10 @@
                 )
             case "stop":
                 self.say(node.stop(now_us(), convert.id_from(request.stop.id)))
+            case "probe":
+                self.next_probe += 1
+                self.probes[self.next_probe] = (call, request.probe.probe)
+                self.say(node.probe(now_us(), self.next_probe))
 
     def living(self) -> Node:
         if self.node is None or self.node.down:
@@ -203,8 +217,9 @@
             raise RpcError(Code.UNAVAILABLE, "the line is too long") from None
         finally:
             self.probes.pop(token, None)
-        report = common_pb2.Report(free_cores=told.free_cores, free_memory=told.free_memory, util=told.util)
-        return node_pb2.ProbeResponse(node=self.id, started_unix_us=self.started_unix_us, report=report)
+        return node_pb2.ProbeResponse(
+            node=self.id, started_unix_us=self.started_unix_us, report=self.report(told)
+        )
 
     def held(self, request: Any, call: ServerCall) -> Any:
         self.hung.wait()
@@ -217,19 +232,17 @@
 
     # The node list
 
-    def announce(self) -> None:
-        """Tell the directory what this node is, at each change, for as long as it lives."""
-        if self.farm.config.directory is None:
-            return
+    def announce(self, directory: str, name: str) -> None:
+        """Tell a directory what this node is, at each change, for as long as it lives."""
         while self.node is not None:
-            channel = Channel(self.farm.config.directory)
+            channel = Channel(directory)
             try:
                 call = caller(channel, DIRECTORY, "Announce")
-                self.node.changed = True
+                told = -1
                 while self.node is not None:
-                    if self.node.changed:
-                        self.node.changed = False
-                        call.send(self.entry(self.node))
+                    if self.changes() != told:
+                        told = self.changes()
+                        call.send(self.entry(self.node, name))
                     if call.stream.error is not None:
                         break
                     gevent.sleep(ANNOUNCE_S)
@@ -238,14 +251,21 @@
             finally:
                 channel.close()
 
-    def entry(self, node: Node) -> Any:
+    def changes(self) -> int:
+        """A number that grows with each change that the list shows."""
+        if self.node is not None and self.node.changed:
+            self.node.changed = False
+            self.changed += 1
+        return self.changed
+
+    def entry(self, node: Node, name: str) -> Any:
         model = self.config.model
         status = api.NodeStatus.DRAINING if node.draining else api.NodeStatus.READY
         free = node.free()
         return directory_pb2.NodeEntry(
             id=self.id,
             name=model.name,
-            addresses=self.config.advertise or self.addresses,
+            addresses=self.config.advertise.get(name) or self.addresses,
             zone=model.zone,
             rack=model.rack,
             kind=model.kind,
@@ -285,6 +305,15 @@
             for node in nodes:
                 self.apply(node, fault, False)
 
+    @staticmethod
+    def pauses(served: Served, length_us: int, every_us: int) -> None:
+        """The node stands still for a while, again and again: nothing is read, looked at or started."""
+        while served.pausing:
+            served.hung.clear()
+            gevent.sleep(length_us / 1e6)
+            served.hung.set()
+            gevent.sleep(max(0.0, (every_us - length_us) / 1e6))
+
     def apply(self, served: Served, fault: Fault, on: bool) -> None:
         """Begin a fault, or end it."""
         node = served.node
@@ -315,5 +344,14 @@
                 node.failing = fault.values[0] if on else 0.0
             case "refuse" if node is not None:
                 node.refusing = fault.values[0] if on else 0.0
+            case "turn-away" if node is not None:
+                node.turning = {fault.values[0]: fault.values[1]} if on else {}
+            case "pauses":
+                served.pausing = on
+                if on:
+                    gevent.spawn(self.pauses, served, *fault.values)
+            case "leave" if node is not None:
+                served.say(node.drain(now_us()))
+                gevent.spawn_later(fault.values[0] / 1e6, served.kill)
             case "slow" if node is not None:
                 node.slow = fault.values[0] if on else 1.0
--- a/stairplank/standin/node.py
+++ b/stairplank/standin/node.py
@@ -144,6 +144,7 @@
         self.slow = 1.0  # fault: times the usual work
         self.failing = 0.0  # fault: share of the starts that fail, quickly
         self.refusing = 0.0  # fault: share of the offers turned away without a reason
+        self.turning: dict[str, float] = {}  # fault: the same for one class
         self.held: dict[AttemptId, Offer] = {}
         self.line: deque[Offer | int] = deque()  # offers and probes wait in one line
         self.look_ends = 0
@@ -300,6 +301,8 @@
             reason = api.Reason.NOT_HERE
         elif self.refusing and self.rng.random() < self.refusing:
             reason = api.Reason.UNTOLD
+        elif self.turning and self.rng.random() < self.turning.get(task.task_class, 0.0):
+            reason = api.Reason.UNTOLD
         elif offer.window_us and self.copies.drops((task.owner, task.key), offer.id, now):
             reason = api.Reason.NOT_HERE
         else:
--- a/stairplank/standin/script.py
+++ b/stairplank/standin/script.py
@@ -1,10 +1,15 @@
 """What goes wrong and when: the ``at`` lines of a scenario and of the stand-ins' files.
 
-at 10s nodes 20% fail-starts 60% for 12s     a share or number of the nodes, drawn under the scenario's seed
-at 12s node 3 drain                          one node, by id
-at 14s list behind 4s for 10s
-at 20s planner 1 kill for 3s
-at 25s demand 2.0 for 6s
+| line | what it does |
+| --- | --- |
+| ``at 10s nodes 20% fail-starts 60% for 12s`` | to a share or number of the nodes, drawn under the seed |
+| ``at 12s nodes other 1 drain`` | to one that no earlier line drew |
+| ``at 12s node 3 4 drain`` | to these, by id |
+| ``at 14s list behind 4s for 10s`` | to the node list |
+| ``at 20s planner 1 kill for 3s`` | to a planner, which is started again after that time |
+| ``at 25s demand 2.0 for 6s`` | so many times the usual; several at once multiply |
+| ``at 30s zone west cut for 5s`` | no link between it and the other zones |
+| ``at 35s owners restart-services 30% 1s`` | stop them and ask for all their tasks again within a second |
 """
 
 from __future__ import annotations
@@ -20,16 +25,20 @@
         "fail-starts": ((v.share,), "for"),
         "refuse": ((v.share,), "for"),
         "slow": ((v.number(1, 1000),), "for"),
+        "pauses": ((v.positive_duration, v.positive_duration), "for"),  # how long, how often
+        "turn-away": ((v.name, v.share), "for"),  # a class
         "lose-answers": ((v.share, v.choice("silence", "reset")), "for"),
         "silent": ((), "for"),
         "hang": ((), "for"),
         "drain": ((), ""),
+        "leave": ((v.duration,), ""),  # drain, and be gone for good after that time
         "kill": ((), "for"),
         "cut": ((), ""),
         "grow": ((), ""),
     },
     "list": {"behind": ((v.duration,), "for"), "away": ((), "for"), "hang": ((), "for"), "forget": ((), "")},
     "planner": {"kill": ((), "for"), "pause": ((), "for"), "cut": ((), "")},
+    "zone": {"cut": ((), "for")},
     "owners": {"restart-services": ((v.share, v.duration), ""), "cut": ((), "")},
     "demand": {"times": ((v.number(0, 1000, above=True),), "for")},
 }
@@ -48,6 +57,7 @@
     count: int = 0
     share: float = 0.0
     avoid: bool = False  # drawn among those that no earlier line drew
+    name: str = ""  # of a zone
 
     def line(self) -> str:
         """The line again, with what was drawn by name."""
@@ -55,7 +65,7 @@
         if self.target in ("node", "planner") and self.which:
             words += [self.target, *map(str, self.which)]
         else:
-            words.append(self.target)
+            words += [self.target, self.name] if self.name else [self.target]
         if self.target != "demand":
             words.append(self.what)
         for kind, value in zip(FAULTS[self.target][self.what][0], self.values, strict=True):
@@ -72,7 +82,7 @@
     at = v.duration(words[0])
     target, rest = words[1], words[2:]
     which: tuple[int, ...] = ()
-    count, share, avoid = 0, 0.0, False
+    count, share, avoid, name = 0, 0.0, False, ""
     if target in ("nodes", "planners"):
         target = target[:-1]
         if rest[:1] == ["other"]:
@@ -91,6 +101,10 @@
         which, rest = tuple(map(int, rest[:digits])), rest[digits:]
     elif target == "demand":
         rest = ["times", *rest]
+    elif target == "zone":
+        if not rest:
+            raise ValueError("the zone's name is needed")
+        name, rest = v.name(rest[0]), rest[1:]
     if target not in FAULTS:
         raise ValueError(f"no target {target!r}; known: {', '.join(sorted(FAULTS))}")
     what, rest = (rest[0], rest[1:]) if rest else ("", [])
@@ -109,4 +123,4 @@
         for_us = v.positive_duration(rest[1])
     elif rest:
         raise ValueError(f"{rest[0]!r} is one word too many")
-    return Fault(at, target, what, values, for_us, which, count, share, avoid)
+    return Fault(at, target, what, values, for_us, which, count, share, avoid, name)
--- a/tests/rehearsal/tape.py
+++ b/tests/rehearsal/tape.py
@@ -219,7 +219,7 @@
 
 
 class List:
-    """A planner's subscription to the node list. Nodes 1 to 4 are in rack r1 of zone z1, 5 to 8 in r2 of z2."""
+    """A planner's subscription to the node list: nodes 1 to 4 in rack r1 of zone z1, 5 to 8 in r2 of z2."""
 
     STATES = {"gone": 1, "draining": 2, "ready": 3}
 
--- /dev/null
+++ b/tests/rehearsal/test_run.py
@@ -0,0 +1,146 @@
+"""Rehearsals on real processes: a short bad day without breach, and guards taken out that must be reported."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import subprocess
+import sys
+import time
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from stairplank.rehearsal.scenario import load_scenario
+from stairplank.settings import SettingsError
+
+HERE = Path(__file__).parent
+DAY = HERE / "small-day"
+LIMIT_S = 90
+
+
+def stairplank(
+    *args: str, env: dict[str, str] | None = None, **more: Any
+) -> subprocess.CompletedProcess[str]:
+    command = [sys.executable, "-m", "stairplank", *args]
+    whole = {**os.environ, **(env or {})}
+    return subprocess.run(command, capture_output=True, text=True, timeout=LIMIT_S, env=whole, **more)
+
+
+def test_a_short_bad_day_has_no_breach(tmp_path: Path) -> None:
+    work, report = tmp_path / "work", tmp_path / "report"
+    done = stairplank("rehearse", str(DAY), "--work", str(work), "--report", str(report))
+    assert done.returncode == 0, done.stdout + done.stderr
+    assert "no breach of the five rules" in done.stdout
+    told = json.loads((report / "report.json").read_text())
+    counts = told["counts"]
+    assert counts["asks"] > 50 and counts["offers"] > 50 and counts["placed"] > 40
+    assert (
+        counts["placed"] + counts["refused"] + counts["failed"] + counts["withdrawn"] >= counts["taken"] * 0.9
+    )
+    assert len(told["script"]) > 10 and (report / "chart.png").stat().st_size > 5000
+    assert "report" in (report / "report.txt").read_text()
+    # The same capture judged again, by itself.
+    again = stairplank("judge", str(work / "capture"))
+    assert again.returncode == 0 and "no breach" in again.stdout
+
+
+# Each guard is taken out of the planner's processes by a line that Python runs at their start.
+PLANTED = {
+    "spread": (
+        "import stairplank.decide as d\nd.Planner._spread_allows = lambda self, task, sort, node: True\n",
+        5,
+    ),
+    "once": (
+        "import stairplank.decide as d\n"
+        "d.Open.may_repeat = lambda self, now, tick: True\n"
+        "d.Open.may_go_to = lambda self, node: True\n",
+        2,
+    ),
+    "answers": (
+        "import stairplank.planner.core as c\n"
+        "c._CARRY[c.api.Refuse] = c._CARRY[c.api.Fail] = lambda self, action: None\n",
+        1,
+    ),
+}
+
+
+@pytest.mark.parametrize("guard", sorted(PLANTED))
+def test_a_guard_taken_out_is_reported(tmp_path: Path, guard: str) -> None:
+    code, rule = PLANTED[guard]
+    (tmp_path / "sitecustomize.py").write_text(
+        "try:\n"
+        + "".join(f"    {line}\n" for line in code.splitlines())
+        + "except ImportError:\n    pass\n"
+    )
+    day = tmp_path / "day"
+    text = DAY.read_text()
+    if guard == "once":
+        text += "at 0s nodes 50% fail-starts 70% for 5s\n"
+    if guard == "answers":
+        text = text.replace("deadline 4s", "deadline 2s") + "at 0s node 1 2 3 4 5 6 fail-starts 100% for 5s\n"
+    if guard == "spread":
+        text = text.replace("    batch 1..3\n", "    batch 3..3\n    services 2\n", 1)
+    day.write_text(text)
+    env = {"PYTHONPATH": str(tmp_path)}
+    done = stairplank("rehearse", str(day), "--work", str(tmp_path / "work"), env=env)
+    assert done.returncode == 1, done.stdout + done.stderr
+    assert f"rule {rule} (" in done.stdout and "record " in done.stdout
+
+
+def test_children_end_with_a_rehearsal_that_is_killed(tmp_path: Path) -> None:
+    work = tmp_path / "work"
+    command = [sys.executable, "-m", "stairplank", "rehearse", str(DAY), "--work", str(work)]
+    process = subprocess.Popen(command, stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL)
+    until = time.monotonic() + 30
+    while not (work / "owners.log").exists() and time.monotonic() < until:
+        time.sleep(0.05)
+    children = children_of(process.pid)
+    assert len(children) >= 4
+    process.send_signal(signal.SIGKILL)
+    process.wait(timeout=10)
+    while any(Path(f"/proc/{c}").exists() for c in children) and time.monotonic() < until + 20:
+        time.sleep(0.05)
+    assert not [c for c in children if Path(f"/proc/{c}").exists() and "Z" not in state(c)]
+
+
+def children_of(pid: int) -> list[int]:
+    return [int(c) for c in Path(f"/proc/{pid}/task/{pid}/children").read_text().split()]
+
+
+def state(pid: int) -> str:
+    try:
+        return Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()[0]
+    except OSError:
+        return "Z"
+
+
+def test_draws_are_the_same_under_one_seed() -> None:
+    first, again = load_scenario(DAY), load_scenario(DAY)
+    other = load_scenario(DAY, seed=99)
+    assert first.faults == again.faults and first.faults != other.faults
+    for fault in first.faults:
+        assert fault.which or fault.target not in ("node", "planner")
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "says"),
+    [
+        ("at 1s node 1 drain", "at 1s node 99 drain", "no node 99"),
+        ("at 2s planner 1 kill", "at 2s planner 7 kill", "no planner 7"),
+        ("at 1500ms nodes 1 grow", "at 1500ms nodes 3 grow", "3 nodes wanted, 1 are there"),
+        ("    kind std\n", "    kind odd\n", "no kind odd"),
+        ("demand report", "demand tea", "no class tea"),
+        ("lasts 11s", "last 11s", "did you mean lasts"),
+    ],
+)
+def test_scenario_errors_have_places(tmp_path: Path, old: str, new: str, says: str) -> None:
+    assert old in DAY.read_text()
+    file = tmp_path / "day"
+    file.write_text(DAY.read_text().replace(old, new, 1))
+    with pytest.raises(SettingsError, match=says):
+        load_scenario(file)
+    done = stairplank("rehearse", str(file))
+    assert done.returncode == 2 and "error: " in done.stderr and f"{file}:" in done.stderr
