--- a/benchmarks/path/run.py
+++ b/benchmarks/path/run.py
@@ -256,7 +256,8 @@
     RESULTS.mkdir(exist_ok=True)
     (RESULTS / "path.json").write_text(json.dumps(rows, indent=1))
     head = (
-        "| nodes | planner 0 of | tasks/s | CPU us a task | module | core | transport | p50 ms | p99 ms | p99.9 ms | bytes a task |\n"
+        "| nodes | planner 0 of | tasks/s | CPU us a task | module | core | transport"
+        " | p50 ms | p99 ms | p99.9 ms | bytes a task |\n"
         "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |\n"
     )
     columns = ("cpu_us_a_task", "module_us", "core_us", "transport_us")
--- a/stairplank/cli/main.py
+++ b/stairplank/cli/main.py
@@ -159,6 +159,24 @@
     return name
 
 
+def _day_scenario(day: str, scale: float, speed: float, seed: int, target: str) -> str:
+    """Turn a day file into a scenario file; exit 2 where it is none."""
+    import json
+    from pathlib import Path
+
+    from ..rehearsal.day import DayError, scenario_from_day
+
+    try:
+        made = scenario_from_day(json.loads(Path(day).read_text()), scale, speed, seed)
+    except (OSError, ValueError, DayError) as error:
+        click.echo(f"error: {day}: {error}", err=True)
+        sys.exit(2)
+    Path(target).write_text(made.text)
+    for note in made.notes:
+        click.echo(f"not carried over: {note}", err=True)
+    return target
+
+
 @main.command()
 @click.argument("scenario", default="first-bad-day")
 @click.option("--seed", type=click.IntRange(0), help="In place of the scenario's own.")
@@ -166,17 +184,31 @@
     "--report", type=click.Path(file_okay=False), help="Folder for report.txt, report.json, chart.png."
 )
 @click.option("--work", type=click.Path(file_okay=False), help="Folder for the capture, files and logs.")
-def rehearse(scenario: str, seed: int | None, report: str | None, work: str | None) -> None:
+@click.option("--day", type=FILE, help="A day file of the bench, in place of a scenario.")
+@click.option("--scale", type=float, default=1.0, show_default=True, help="--day: share of the room.")
+@click.option("--speed", type=float, default=1.0, show_default=True, help="--day: so many times faster.")
+def rehearse(
+    scenario: str,
+    seed: int | None,
+    report: str | None,
+    work: str | None,
+    day: str | None,
+    scale: float,
+    speed: float,
+) -> None:
     """Rehearse a SCENARIO on real processes; exit 0 without breach, 1 with, 2 for bad input.
 
-    SCENARIO is a file, or the name of a shipped one. By default the shipped first bad day is played.
+    SCENARIO is a file, or the name of a shipped one. By default the shipped first bad day is played. With
+    --day a day file of the bench is replayed; what cannot be carried over is said line by line.
     """
     from ..rehearsal import report as reports
     from ..rehearsal.run import Rehearsal, RehearsalError, work_folder
     from ..rehearsal.scenario import load_scenario
 
-    loaded = load_scenario(_shipped(scenario), seed)
     folder = work_folder(work)
+    if day is not None:
+        scenario = _day_scenario(day, scale, speed, seed or 1, str(folder / "scenario"))
+    loaded = load_scenario(_shipped(scenario), seed)
     title = f"{scenario} (seed {loaded.seed})"
     click.echo(f"rehearsing {title}; work in {folder}", err=True)
     try:
--- a/stairplank/planner/core.py
+++ b/stairplank/planner/core.py
@@ -21,7 +21,7 @@
 from . import events as ev
 from .events import AttemptId
 from .leftovers import Fate
-from .links import Link, Redial, State
+from .links import Dials, Link, Redial, State
 
 MODULE_IDS = 2**52  # ids of tasks stay below
 ANSWER_TICKS = 2  # an attempt ends so long before its owner gives up: the answer has a way to go yet
@@ -43,6 +43,7 @@
     stop_grace_us: int = 10_000_000
     leftover_us: int = 30_000_000  # so long a node's word on a given-up attempt is waited for
     nodes_most: int = 10_000
+    dials_most: int = 16  # under way at once
 
 
 class _Kind(IntEnum):
@@ -149,6 +150,7 @@
         self.now = 0
         self.module = Planner(settings, seed)
         self.redial = Redial(config.dial_retry_us, config.dial_retry_most_us, random.Random(seed ^ 0x11))
+        self.dials = Dials(config.dials_most)
         self.classes = {c.name: i for i, c in enumerate(settings.classes)}
         self.kinds = {k.name: i for i, k in enumerate(settings.kinds)}
         self.tenants = {name: i for i, name in enumerate(config.tenants)}
@@ -407,7 +409,7 @@
         attempt.waiting = True
         self._at(self.now + self.config.dial_timeout_us, _Kind.DIAL, attempt)
         if self.redial.wanted_now(link, self.now):
-            self._dial(link)
+            self._dial(link, first=True)
         elif link.state is State.DOWN:
             self._over(attempt, api.Result.UNREACHABLE)
 
@@ -706,9 +708,17 @@
 
     # Links
 
-    def _dial(self, link: Link) -> None:
+    def _dial(self, link: Link, first: bool = False) -> None:
         link.state = State.DIALLING
-        self._out.append(ev.Dial(link.node, link.addresses))
+        self._dial_these(self.dials.want(link.node, first=first))
+
+    def _dial_these(self, nodes: list[int]) -> None:
+        for node in nodes:
+            link = self.links.get(node)
+            if link is not None:
+                self._out.append(ev.Dial(node, link.addresses))
+            else:
+                self._dial_these(self.dials.over(node))
 
     def _dial_over(self, attempt: Attempt) -> None:
         if attempt.waiting and attempt.id in self.attempts:
@@ -720,6 +730,7 @@
             self._dial(link)
 
     def _link_up(self, event: ev.LinkUp) -> None:
+        self._dial_these(self.dials.over(event.node))
         link = self.links.get(event.node)
         if link is None:
             self._out.append(ev.HangUp(event.node))
@@ -750,6 +761,7 @@
                 self._over(attempt, api.Result.LOST)
 
     def _dial_failed(self, event: ev.DialFailed) -> None:
+        self._dial_these(self.dials.over(event.node))
         link = self.links.get(event.node)
         if link is None:
             return
@@ -950,6 +962,7 @@
     def _drop_link(self, link: Link) -> None:
         if self.links.pop(link.node, None) is not None and link.state is not State.DOWN:
             self._out.append(ev.HangUp(link.node))
+            self._dial_these(self.dials.over(link.node))
 
     def _list_failed(self, event: ev.ListFailed) -> None:
         self._count("list_failures")
--- a/stairplank/planner/daemon.py
+++ b/stairplank/planner/daemon.py
@@ -189,6 +189,7 @@
             link_grace_us=config.link_grace_us,
             stop_grace_us=config.stop_grace_us,
             nodes_most=config.nodes_most,
+            dials_most=config.dials_most,
         )
         self.core = Core(config.settings, core_config, self.life, seed)
         self.health = Health((PLACEMENT.full_name,))
--- a/stairplank/planner/links.py
+++ b/stairplank/planner/links.py
@@ -11,7 +11,7 @@
 
 class State(Enum):
     DOWN = "down"
-    DIALLING = "dialling"
+    DIALLING = "dialling"  # or about to be: its turn will come
     UP = "up"
 
 
@@ -32,6 +32,44 @@
     lost_at: int = 0  # when the link broke; 0: it is up, or nothing was under way
 
 
+class Dials:
+    """Which links are dialled now: so many at once, those that offers wait for first.
+
+    Danger: a planner that starts, or hears of a whole new fleet, dials hundreds of nodes; done all at once
+    none of the handshakes is through within its time-out, and healthy nodes count as unreachable.
+    """
+
+    def __init__(self, most: int) -> None:
+        self._most = most
+        self._under_way: set[int] = set()
+        self._waiting: dict[int, None] = {}
+
+    def want(self, node: int, *, first: bool = False) -> list[int]:
+        """Ask for a dial; the nodes to dial now."""
+        if node in self._under_way:
+            return []
+        if first:
+            self._waiting = {node: None, **self._waiting}
+        else:
+            self._waiting.setdefault(node)
+        return self._next()
+
+    def over(self, node: int) -> list[int]:
+        """A dial has ended, or its link was given up."""
+        self._under_way.discard(node)
+        self._waiting.pop(node, None)
+        return self._next()
+
+    def _next(self) -> list[int]:
+        out: list[int] = []
+        while self._waiting and len(self._under_way) < self._most:
+            node = next(iter(self._waiting))
+            del self._waiting[node]
+            self._under_way.add(node)
+            out.append(node)
+        return out
+
+
 class Redial:
     """Waits between dials: doubling from the first to the most, each drawn from its upper half."""
 
--- a/stairplank/rehearsal/scenario.py
+++ b/stairplank/rehearsal/scenario.py
@@ -22,7 +22,8 @@
         Key("kind", (v.name,), True),
         Key("zone", (v.name,), True),
         Key("racks", (v.whole(1, 10_000),), True),
-        Key("nodes", (v.whole(1, 10_000),), True),
+        Key("rack", (v.name,)),  # one rack's name, in place of names made from the fleet's
+        Key("nodes", (v.whole(0, 10_000),), True),
         Key("absent", (v.whole(0, 10_000),)),
     ),
     True,
@@ -99,9 +100,11 @@
         count, absent = block.one("nodes"), block.one("absent", 0)
         for i in range(count + absent):
             id = len(nodes) + 1
-            rack = f"{name}-{i % block.one('racks')}"
+            rack = block.one("rack") or f"{name}-{i % block.one('racks')}"
             model = model_from(room, section, id, f"{name}-{i}", kind, zone, rack)
             nodes.append(FleetNode(model, i >= count))
+    if not any(not n.absent for n in nodes) and not problems:
+        problems.append(Problem(section.at, "fleet", "no node is there when the day begins"))
     if problems:
         raise SettingsError(problems)
     demands_from(section, room)
--- a/stairplank/settings/planner.py
+++ b/stairplank/settings/planner.py
@@ -30,6 +30,7 @@
     Key("running-most", (v.whole(1, 10_000_000),)),
     Key("owners-most", (v.whole(1, 65_536),)),
     Key("nodes-most", (v.whole(1, 1_000_000),)),
+    Key("dials-most", (v.whole(1, 100_000),)),
     Key("wait-most", (v.positive_duration,)),
     Key("send-buffer", (v.size,)),
     Key("message-most", (v.size,)),
@@ -59,6 +60,7 @@
     running_most: int = 200_000
     owners_most: int = 1_000
     nodes_most: int = 10_000
+    dials_most: int = 16
     wait_most_us: int = 3_600_000_000
     send_buffer: int = 1 << 20
     message_most: int = 1 << 20
@@ -109,6 +111,7 @@
         "running_most": one("running-most"),
         "owners_most": one("owners-most"),
         "nodes_most": one("nodes-most"),
+        "dials_most": one("dials-most"),
         "wait_most_us": one("wait-most"),
         "send_buffer": one("send-buffer"),
         "message_most": one("message-most"),
--- a/stairplank/standin/node.py
+++ b/stairplank/standin/node.py
@@ -299,9 +299,7 @@
         reason = None
         if now >= offer.until:
             reason = api.Reason.NOT_HERE
-        elif self.refusing and self.rng.random() < self.refusing:
-            reason = api.Reason.UNTOLD
-        elif self.turning and self.rng.random() < self.turning.get(task.task_class, 0.0):
+        elif self._turns_away(task.task_class):
             reason = api.Reason.UNTOLD
         elif offer.window_us and self.copies.drops((task.owner, task.key), offer.id, now):
             reason = api.Reason.NOT_HERE
@@ -320,6 +318,10 @@
         self._say(offer, "accepted")
         self._begin(now)
 
+    def _turns_away(self, task_class: str) -> bool:
+        share = max(self.refusing, self.turning.get(task_class, 0.0))
+        return share > 0 and self.rng.random() < share
+
     def _room_for(self, offer: Offer) -> api.Reason | None:
         """None where it fits, if need be after tasks of lower priority were pushed out."""
         task, model = offer.task, self.model
--- a/tests/planner/test_core.py
+++ b/tests/planner/test_core.py
@@ -501,3 +501,23 @@
     w.wait(4 * SECOND)
     assert len(w.words(ev.RefusedTask)) == 10_000 and w.core.open_tasks == 0
     assert len(w.core.placings) == 3
+
+
+def test_a_whole_new_fleet_is_dialled_a_few_at_a_time() -> None:
+    w = World(nodes=0, dials_most=4)
+    w.list(*range(1, 31), revision=2)
+    assert [d.node for d in w.all(ev.Dial)] == [1, 2, 3, 4]
+    w.feed(ev.LinkUp(1, 0, False))
+    w.feed(ev.DialFailed(2))
+    assert [d.node for d in w.all(ev.Dial)][4:] == [5, 6]
+    w.list(*range(1, 20), revision=3)  # some leave before their turn has come
+    for node in (3, 4, 5, 6):
+        w.feed(ev.LinkUp(node, 0, False))
+    for _ in range(30):
+        for node in {d.node for d in w.all(ev.Dial)} - {
+            n for n, x in w.core.links.items() if x.state.value == "up"
+        }:
+            w.feed(ev.LinkUp(node, 0, False))
+    ups = [n for n, link in w.core.links.items() if link.state.value == "up"]
+    assert sorted(ups) == list(range(1, 20))
+    assert max(d.node for d in w.all(ev.Dial)) == 19
--- a/tests/planner/test_daemon.py
+++ b/tests/planner/test_daemon.py
@@ -58,6 +58,8 @@
         self.calls: list[Any] = []
         self.answer = True
         self.identity = id
+        self.probes = 0
+        self.reports = True
         self.hang = False
         self.held: list[Any] = []
         handlers = methods(NODE, Offers=self.stream, Probe=self.probe, Held=self.hold)
@@ -71,7 +73,13 @@
         call.send(_EVENT(welcome=_EVENT.Welcome(node=self.identity)))
         self.calls.append(call)
         while (request := call.recv()) is not None:
-            if request.WhichOneof("kind") == "stop":
+            kind = request.WhichOneof("kind")
+            if kind == "probe":
+                self.probes += 1
+                if self.reports:
+                    self.say(sampled=_EVENT.Sampled(probe=request.probe.probe))
+                continue
+            if kind == "stop":
                 self.stops.append(request.stop)
                 continue
             self.offers.append(request.offer)
@@ -386,3 +394,14 @@
     assert left.get(timeout=WAIT) is True and time.monotonic() - began < WAIT
     with pytest.raises(RpcError):
         Channel(world.address, dial_timeout_s=1).connect()
+
+
+def test_a_probe_without_an_answer_is_told_as_one(world: World) -> None:
+    told: list[Any] = []
+    feed = world.daemon.feed
+    world.daemon.feed = lambda event: (told.append(event), feed(event))[1]  # type: ignore[method-assign]
+    world.nodes[0].reports = False
+    for node in (1, 2):
+        world.daemon._probe(node)
+    world.until(lambda: sum(type(e).__name__ == "ProbeTold" for e in told) == 2)
+    assert {e.node: e.ok for e in told if type(e).__name__ == "ProbeTold"} == {1: False, 2: True}
--- a/tests/rehearsal/test_run.py
+++ b/tests/rehearsal/test_run.py
@@ -1,4 +1,4 @@
-"""Rehearsals on real processes: a short bad day without breach, and guards taken out that must be reported."""
+"""Rehearsals on real processes: a short bad day without breach; guards taken out, which must be reported."""
 
 from __future__ import annotations
 
@@ -71,9 +71,7 @@
 def test_a_guard_taken_out_is_reported(tmp_path: Path, guard: str) -> None:
     code, rule = PLANTED[guard]
     (tmp_path / "sitecustomize.py").write_text(
-        "try:\n"
-        + "".join(f"    {line}\n" for line in code.splitlines())
-        + "except ImportError:\n    pass\n"
+        "try:\n" + "".join(f"    {line}\n" for line in code.splitlines()) + "except ImportError:\n    pass\n"
     )
     day = tmp_path / "day"
     text = DAY.read_text()
--- a/tests/test_readme.py
+++ b/tests/test_embedding.py
@@ -1,13 +1,13 @@
-"""The README's example runs as it stands."""
+"""The example of docs/embedding.md runs as it stands."""
 
 import re
 from pathlib import Path
 
 
 def test_the_example_runs(capsys) -> None:  # type: ignore[no-untyped-def]
-    text = (Path(__file__).parent.parent / "README.md").read_text()
+    text = (Path(__file__).parent.parent / "docs" / "embedding.md").read_text()
     (example,) = re.findall(r"```python\n(.*?)```", text, re.S)
-    exec(compile(example, "README.md", "exec"), {})
+    exec(compile(example, "embedding.md", "exec"), {})
     printed = capsys.readouterr().out.splitlines()
     assert printed[0] == "subscribe to the node list"
     offers = [line for line in printed if line.startswith("offer task 1 to node ")]
