--- /dev/null
+++ b/stairplank/groups/coordinator.py
@@ -0,0 +1,497 @@
+"""When groups are tried, let run, released and tried again. No I/O, no clock, no global state.
+
+A group's life: WAITING for its next try; GATHERING, while members are offered and held ready at their nodes;
+COMMITTED, once all of them were let run; WHOLE, once all run; RELEASING, until every attempt of a try that
+was given up has its last word; over. Invariants (the stateful test checks them):
+
+1. Members are let run only when as many are ready as make the group whole, and only those of one try.
+2. Once a try is being released none of its members is let run.
+3. A group has one outcome, and no member is offered after it.
+4. A new try begins only when every attempt of the one before is over.
+5. Members that were let run are kept by leases; a group that is not whole in time, or loses a member, is
+   released, and without its planner it ends by itself.
+"""
+
+from __future__ import annotations
+
+import heapq
+import random
+from dataclasses import dataclass, field
+from enum import Enum
+
+from .. import interface as api
+from .spec import GroupSpec, Room, never, scarcity
+
+AGED = 0.8  # of its back-off that a group is spared by the time its owner is about to give up
+
+
+@dataclass(frozen=True, slots=True)
+class GroupConfig:
+    """Times in microseconds."""
+
+    gather_us: int = 1_500_000  # a try may hold members so long; longer as the group ages, up to the next
+    gather_most_us: int = 3_000_000
+    whole_within_us: int = 1_000_000  # from letting run to all running
+    keep_every_us: int = 400_000
+    lease_us: int = 1_200_000  # before a group is whole
+    lease_step_us: int = 400_000  # by which the lease grows with each keeping after that
+    lease_most_us: int = 8_000_000
+    back_off_us: int = 200_000  # first wait between tries, doubling
+    back_off_most_us: int = 3_000_000
+    answer_us: int = 100_000  # so long before the deadline the group is answered
+    groups_most: int = 1_000
+    held_share: float = 0.5  # of the believed free room that gathering groups may hold at once
+    blocking: bool = False  # baseline for experiments: hold what was got until all is there
+
+
+class Stand(Enum):
+    WAITING = "waiting"
+    GATHERING = "gathering"
+    COMMITTED = "committed"
+    WHOLE = "whole"
+    RELEASING = "releasing"
+    OVER = "over"
+
+
+class Member(Enum):
+    IDLE = "idle"  # no attempt of this try
+    ASKED = "asked"
+    READY = "ready"
+    RUNNING = "running"
+    FINISHED = "finished"
+    OVER = "over"  # its attempt of this try is over without a good end
+
+
+# Actions
+
+
+@dataclass(frozen=True, slots=True)
+class Try:
+    """Have this member placed; it is to be held ready."""
+
+    group: int
+    member: int
+    until: int
+
+
+@dataclass(frozen=True, slots=True)
+class LetRun:
+    group: int
+    members: tuple[int, ...]
+    lease_us: int
+
+
+@dataclass(frozen=True, slots=True)
+class Keep:
+    group: int
+    members: tuple[int, ...]
+    lease_us: int
+
+
+@dataclass(frozen=True, slots=True)
+class Release:
+    """Give these members' attempts up; each will be told as over."""
+
+    group: int
+    members: tuple[int, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Placed:
+    group: int
+    members: tuple[int, ...]
+    wishes_met: bool
+    tries: int
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    group: int
+    why: str
+    never: bool
+    retry_after_us: int
+
+
+@dataclass(frozen=True, slots=True)
+class Failed:
+    group: int
+    why: str
+
+
+@dataclass(frozen=True, slots=True)
+class Tried:
+    group: int
+    tries: int
+    why: str
+    again_in_us: int
+
+
+@dataclass(frozen=True, slots=True)
+class Ended:
+    group: int
+    finished: bool
+
+
+Action = Try | LetRun | Keep | Release | Placed | Refused | Failed | Tried | Ended
+
+
+@dataclass(slots=True)
+class Group:
+    number: int
+    spec: GroupSpec
+    asked: int
+    deadline: int
+    stand: Stand = Stand.WAITING
+    members: list[Member] = field(default_factory=list)
+    nodes: dict[int, tuple[int, str]] = field(default_factory=dict)  # member: node and rack
+    tries: int = 0
+    until: int = 0  # of the present stand
+    lease_us: int = 0
+    why: str = ""
+    ran: bool = False  # members of it were let run at some time
+    answered: bool = False
+    final: bool = False  # no further try after the release
+    generation: int = 0
+
+
+class Coordinator:
+    """All groups of one planner."""
+
+    def __init__(self, settings: api.Settings, config: GroupConfig, seed: int) -> None:
+        self.settings = settings
+        self.config = config
+        self.rng = random.Random(seed)
+        self.groups: dict[int, Group] = {}
+        self.now = 0
+        self.room = Room(0, 0, 0.0, 0.0, 0.0, 0.0)
+        self.out: list[Action] = []
+        self._due: list[tuple[int, int, int]] = []
+        self.keep_at = 0
+
+    def next_due(self) -> int | None:
+        return self._due[0][0] if self._due else None
+
+    # Events
+
+    def asked(self, now: int, number: int, spec: GroupSpec, deadline: int, room: Room) -> list[Action]:
+        self._begin(now, room)
+        group = Group(number, spec, now, deadline, members=[Member.IDLE] * len(spec.members))
+        self.groups[number] = group
+        reason = never(spec, room, self.settings)
+        if reason is not None:
+            self._answer(group, Refused(number, reason, True, 0))
+        else:
+            self._try(group)
+        return self.out
+
+    def ready(self, now: int, number: int, member: int, node: int, rack: str) -> list[Action]:
+        """A member is held ready at a node."""
+        self._begin(now)
+        group = self.groups.get(number)
+        if group is not None and group.stand is Stand.GATHERING and group.members[member] is Member.ASKED:
+            group.members[member] = Member.READY
+            group.nodes[member] = (node, rack)
+            if all(m is Member.READY for m in group.members):
+                self._let_run(group)
+        return self.out
+
+    def running(self, now: int, number: int, member: int) -> list[Action]:
+        self._begin(now)
+        group = self.groups.get(number)
+        if group is not None and group.members[member] is Member.READY:
+            group.members[member] = Member.RUNNING
+            if group.stand is Stand.COMMITTED:
+                self._perhaps_whole(group)
+        return self.out
+
+    def over(self, now: int, number: int, member: int, finished: bool, why: str) -> list[Action]:
+        """A member's attempt has its last word: turned down, failed, lost, released or at its good end."""
+        self._begin(now)
+        group = self.groups.get(number)
+        if group is None:
+            return self.out
+        was = group.members[member]
+        group.members[member] = Member.FINISHED if finished else Member.OVER
+        group.nodes.pop(member, None) if not finished else None
+        if group.stand is Stand.GATHERING:
+            if finished or was in (Member.ASKED, Member.READY):
+                self._short(group, why)
+        elif group.stand is Stand.COMMITTED:
+            if finished and was in (Member.READY, Member.RUNNING):
+                self._perhaps_whole(group)
+            elif was in (Member.READY, Member.RUNNING):
+                self._give_up(group, f"a member was lost before all ran: {why}")
+        elif group.stand is Stand.WHOLE:
+            if not finished and was is Member.RUNNING:
+                self._lost_one(group)
+            self._perhaps_ended(group)
+        elif group.stand is Stand.RELEASING:
+            self._perhaps_released(group)
+        return self.out
+
+    def withdrawn(self, now: int, number: int) -> list[Action]:
+        """The owner wants the group no longer: nothing is owed, all of it is released."""
+        self._begin(now)
+        group = self.groups.get(number)
+        if group is not None:
+            group.answered = group.final = True
+            if group.stand is not Stand.RELEASING:
+                self._release(group)
+        return self.out
+
+    def found(
+        self, now: int, number: int, spec: GroupSpec, nodes: dict[int, tuple[int, str]]
+    ) -> list[Action]:
+        """A whole group of an earlier life of this planner: it is kept on."""
+        self._begin(now)
+        group = Group(number, spec, now, now, Stand.WHOLE, [Member.RUNNING] * len(spec.members), dict(nodes))
+        group.answered = group.ran = True
+        group.lease_us = self.config.lease_us
+        self.groups[number] = group
+        self._keep(group)
+        return self.out
+
+    def leave(self, now: int) -> list[Action]:
+        """The planner leaves: groups that do not run are refused and released."""
+        self._begin(now)
+        for group in [g for g in self.groups.values() if not g.answered]:
+            group.answered = group.final = True
+            self.out.append(Refused(group.number, "this planner is leaving", False, 0))
+            if group.stand is not Stand.RELEASING:
+                self._release(group)
+        return self.out
+
+    def advance(self, now: int, room: Room) -> list[Action]:
+        """What has come due."""
+        self._begin(now, room)
+        while self._due and self._due[0][0] <= now:
+            _, number, generation = heapq.heappop(self._due)
+            group = self.groups.get(number)
+            if group is not None and group.generation == generation:
+                self._timer(group)
+        return self.out
+
+    # Tries
+
+    def _begin(self, now: int, room: Room | None = None) -> None:
+        self.now = max(self.now, now)
+        self.out = []
+        if room is not None:
+            self.room = room
+
+    def _timer(self, group: Group) -> None:
+        match group.stand:
+            case Stand.WAITING:
+                self._try(group)
+            case Stand.GATHERING:
+                self._short(group, "not all members found a place in time")
+            case Stand.COMMITTED | Stand.WHOLE:
+                self._keep(group)
+
+    def _try(self, group: Group) -> None:
+        """Begin a try, unless there is no point in it yet."""
+        last = group.deadline - self.config.answer_us
+        if self.now >= last:
+            self._answer_late(group)
+            return
+        why = self._no_point(group)
+        if why is not None:
+            group.why = why
+            self._wait(group, min(self._back_off(group), last - self.now))
+            return
+        group.tries += 1
+        group.stand = Stand.GATHERING
+        group.nodes.clear()
+        for i in range(len(group.members)):
+            group.members[i] = Member.ASKED
+        age = (self.now - group.asked) / max(1, group.deadline - group.asked)
+        gather = self.config.gather_us
+        gather += int((self.config.gather_most_us - gather) * age)
+        if self.config.blocking:
+            gather = last - self.now
+        group.until = min(last, self.now + gather)
+        order = sorted(
+            range(len(group.members)), key=lambda i: (scarcity(group.spec.members[i], self.settings), i)
+        )
+        for i in order:
+            self.out.append(Try(group.number, i, group.until))
+        self._at(group, group.until)
+
+    def _no_point(self, group: Group) -> str | None:
+        """Believed room first. Danger: tries that cannot succeed hold what others could use.
+
+        What other groups hold is in the belief already, as own bindings are; the share leaves room to single
+        tasks, which would starve beside many gathering groups. An old group is tried whatever is believed:
+        belief is late, and a group that is never tried never starts.
+        """
+        room = self.room
+        old = (self.now - group.asked) * 2 > group.deadline - group.asked
+        if room.nodes == 0 or old or self.config.blocking:
+            return None
+        cores = sum(m.cores for m in group.spec.members)
+        memory = sum(m.memory for m in group.spec.members)
+        if cores > room.free_cores or memory > room.free_memory:
+            return "no room is believed to be there"
+        held = sum(
+            m.cores for g in self.groups.values() if g.stand is Stand.GATHERING for m in g.spec.members
+        )
+        if held and held + cores > self.config.held_share * room.free_cores:
+            return "other groups are being gathered"
+        return None
+
+    def _short(self, group: Group, why: str) -> None:
+        """The try cannot be completed, or its time is over."""
+        ready = [i for i, m in enumerate(group.members) if m is Member.READY]
+        open_ones = [i for i, m in enumerate(group.members) if m is Member.ASKED]
+        if len(ready) + len(open_ones) >= group.spec.least:
+            if self.now < group.until and open_ones:
+                return  # others may still do
+            if len(ready) >= group.spec.least:
+                if open_ones:
+                    self.out.append(Release(group.number, tuple(open_ones)))
+                    for i in open_ones:
+                        group.members[i] = Member.OVER
+                self._let_run(group)
+                return
+        self._give_up(group, why)
+
+    def _wishes_met(self, group: Group) -> bool:
+        spec = group.spec
+        nodes = [n for n, _ in group.nodes.values()]
+        racks = [r for _, r in group.nodes.values()]
+        if spec.same_rack and len(set(racks)) > 1:
+            return False
+        if spec.distinct_nodes and len(set(nodes)) < len(nodes):
+            return False
+        return not (spec.distinct_racks and len(set(racks)) < len(racks))
+
+    def _let_run(self, group: Group) -> None:
+        early = (self.now - group.asked) * 3 < group.deadline - group.asked
+        if early and not self._wishes_met(group):
+            self._give_up(group, "the bindings do not meet the wishes")
+            return
+        group.stand, group.ran = Stand.COMMITTED, True
+        group.until = self.now + self.config.whole_within_us
+        group.lease_us = self.config.lease_us
+        ready = tuple(i for i, m in enumerate(group.members) if m is Member.READY)
+        self.out.append(LetRun(group.number, ready, group.lease_us))
+        self._at(group, min(group.until, self.now + self.config.keep_every_us))
+
+    def _perhaps_whole(self, group: Group) -> None:
+        going = [i for i, m in enumerate(group.members) if m in (Member.RUNNING, Member.FINISHED)]
+        if any(m is Member.READY for m in group.members) or len(going) < group.spec.least:
+            return
+        group.stand = Stand.WHOLE
+        if not group.answered:
+            group.answered = True
+            self.out.append(Placed(group.number, tuple(going), self._wishes_met(group), group.tries))
+        self._keep(group)
+        self._perhaps_ended(group)
+
+    def _keep(self, group: Group) -> None:
+        """Renew the leases; before the group is whole only while it may still become so."""
+        config = self.config
+        if group.stand is Stand.COMMITTED and self.now >= group.until:
+            self._give_up(group, "not all members ran in time")
+            return
+        if group.stand is Stand.WHOLE:
+            # It grows by steps. Danger: two members whose last keepings differ by one must not end far apart.
+            group.lease_us = min(config.lease_most_us, group.lease_us + config.lease_step_us)
+        members = tuple(i for i, m in enumerate(group.members) if m in (Member.READY, Member.RUNNING))
+        if members:
+            self.out.append(Keep(group.number, members, group.lease_us))
+            at = self.now + config.keep_every_us
+            self._at(group, min(at, group.until) if group.stand is Stand.COMMITTED else at)
+
+    def _lost_one(self, group: Group) -> None:
+        """A member of a whole group was lost. Danger: the rest would run on as half a group."""
+        alive = sum(m in (Member.RUNNING, Member.FINISHED) for m in group.members)
+        if alive < group.spec.least:
+            group.final = True
+            self._release(group)
+
+    def _perhaps_ended(self, group: Group) -> None:
+        if group.stand is Stand.WHOLE and not any(m is Member.RUNNING for m in group.members):
+            self._end(group, sum(m is Member.FINISHED for m in group.members) >= group.spec.least)
+
+    # Release and what comes after
+
+    def _give_up(self, group: Group, why: str) -> None:
+        group.why = why
+        self._release(group)
+
+    def _release(self, group: Group) -> None:
+        group.stand = Stand.RELEASING
+        group.generation += 1
+        open_ones = (Member.ASKED, Member.READY, Member.RUNNING)
+        members = tuple(i for i, m in enumerate(group.members) if m in open_ones)
+        if members:
+            self.out.append(Release(group.number, members))
+        self._perhaps_released(group)
+
+    def _perhaps_released(self, group: Group) -> None:
+        """Invariant 4: only when every attempt is over is the group tried again, or answered for good."""
+        if any(m in (Member.ASKED, Member.READY, Member.RUNNING) for m in group.members):
+            return
+        if group.final:
+            self._end(group, False)
+            return
+        harmed = group.ran and any(
+            group.members[i] in (Member.OVER, Member.FINISHED)
+            and self._effect(group, i) is not api.Effect.REPEATABLE
+            for i in range(len(group.members))
+        )
+        last = group.deadline - self.config.answer_us
+        if harmed:
+            # Members that must not run twice were let run for a moment: they are not sent again.
+            self._answer(group, Failed(group.number, group.why))
+        elif self.now >= last:
+            self._answer_late(group)
+        else:
+            wait = min(self._back_off(group), last - self.now)
+            self.out.append(Tried(group.number, group.tries, group.why, wait))
+            self._wait(group, wait)
+
+    def _effect(self, group: Group, member: int) -> api.Effect:
+        name = group.spec.members[member].task_class
+        return next(c.effect for c in self.settings.classes if c.name == name)
+
+    def _back_off(self, group: Group) -> int:
+        """Doubling, drawn from its upper half, shorter as the group ages.
+
+        Danger: groups that each hold half of what the other needs give up and try again in step for ever;
+        and a large group, which needs more to come free at once, would always find a small one there first.
+        """
+        config = self.config
+        most = min(config.back_off_us << min(group.tries, 6), config.back_off_most_us)
+        age = min(1.0, (self.now - group.asked) / max(1, group.deadline - group.asked))
+        most = max(config.back_off_us // 2, int(most * (1 - AGED * age)))
+        return most // 2 + self.rng.randrange(most // 2 + 1)
+
+    def _wait(self, group: Group, wait: int) -> None:
+        group.stand = Stand.WAITING
+        self._at(group, self.now + wait)
+
+    def _answer_late(self, group: Group) -> None:
+        why = group.why or "its time is over"
+        self._answer(group, Refused(group.number, why, False, self.config.back_off_most_us))
+
+    def _answer(self, group: Group, action: Refused | Failed) -> None:
+        if not group.answered:
+            group.answered = True
+            self.out.append(action)
+        self._drop(group)
+
+    def _end(self, group: Group, finished: bool) -> None:
+        if group.ran and group.answered:
+            self.out.append(Ended(group.number, finished))
+        self._drop(group)
+
+    def _drop(self, group: Group) -> None:
+        group.stand = Stand.OVER
+        group.generation += 1
+        self.groups.pop(group.number, None)
+
+    def _at(self, group: Group, at: int) -> None:
+        group.generation += 1
+        heapq.heappush(self._due, (at, group.number, group.generation))
--- a/stairplank/planner/__init__.py
+++ b/stairplank/planner/__init__.py
@@ -4,7 +4,3 @@
 ``leftovers`` what becomes of copies that were given up, ``links`` when a node is dialled; ``daemon`` has
 the sockets.
 """
-
-from .core import Core
-
-__all__ = ["Core"]
--- a/stairplank/planner/convert.py
+++ b/stairplank/planner/convert.py
@@ -62,6 +62,16 @@
     return common_pb2.AttemptId(life=id.life, placing=id.placing, attempt=id.attempt)
 
 
+def tag_from(tag: Any) -> ev.GroupTag:
+    return ev.GroupTag(tag.life, tag.group, tag.size, tag.member, tag.lease_us)
+
+
+def tag_to(tag: ev.GroupTag) -> Any:
+    return node_pb2.GroupMember(
+        life=tag.life, group=tag.group, size=tag.size, member=tag.member, lease_us=tag.lease_us
+    )
+
+
 def reason_from(reason: int) -> api.Reason:
     return api.Reason(reason) if 0 <= reason <= 7 else api.Reason.UNTOLD
 
@@ -92,6 +102,8 @@
     match message.WhichOneof("kind"):
         case "accepted":
             return ev.NodeAccepted(node, id_from(message.accepted.id))
+        case "ready":
+            return ev.NodeReady(node, id_from(message.ready.id))
         case "running":
             return ev.NodeRunning(node, id_from(message.running.id))
         case "refused":
@@ -111,7 +123,12 @@
 
 
 def held_from(node: int, message: Any) -> ev.HeldTold:
-    tasks = tuple(ev.HeldTask(id_from(t.id), spec_from(t.task), t.running) for t in message.tasks)
+    tasks = tuple(
+        ev.HeldTask(
+            id_from(t.id), spec_from(t.task), t.running, tag_from(t.group) if t.HasField("group") else None
+        )
+        for t in message.tasks
+    )
     return ev.HeldTold(node, message.started_unix_us, tasks)
 
 
@@ -124,10 +141,36 @@
             priority=sort.priority,
             window_us=sort.window_us,
             once=sort.effect is api.Effect.ONCE,
+            group=tag_to(offer.group) if offer.group is not None else None,
         )
     )
 
 
+def commit_to(commit: ev.SendCommit) -> Any:
+    part = node_pb2.OfferRequest.Commit(ids=map(id_to, commit.ids), lease_us=commit.lease_us)
+    return node_pb2.OfferRequest(commit=part)
+
+
+def keep_to(keep: ev.SendKeep) -> Any:
+    part = node_pb2.OfferRequest.Keep(ids=map(id_to, keep.ids), lease_us=keep.lease_us)
+    return node_pb2.OfferRequest(keep=part)
+
+
+def group_from(session: int, ask: Any, owner: str) -> ev.AskedGroup:
+    for member in ask.members:
+        member.owner = member.owner or owner
+    return ev.AskedGroup(
+        session,
+        ask.ask,
+        tuple(map(spec_from, ask.members)),
+        ask.wait_us,
+        ask.least,
+        ask.same_rack,
+        ask.distinct_nodes,
+        ask.distinct_racks,
+    )
+
+
 def stop_to(stop: ev.SendStop) -> Any:
     return node_pb2.OfferRequest(stop=node_pb2.OfferRequest.Stop(id=id_to(stop.id), why=_WHY[stop.why]))
 
@@ -156,4 +199,26 @@
             return event(ended=event.Ended(ask=ask, key=key, finished=finished, reason=int(reason)))  # type: ignore[arg-type]
         case ev.Found(ask, key, node):
             return event(found=event.Found(ask=ask, key=key, node=node))
+        case ev.GroupPlaced(ask, bindings, met, tries):
+            each = [event.Binding(member=m, node=n) for m, n in bindings]
+            return event(group_placed=event.GroupPlaced(ask=ask, bindings=each, wishes_met=met, tries=tries))
+        case ev.GroupRefused(ask, after, why, never):
+            return event(
+                group_refused=event.GroupRefused(ask=ask, retry_after_us=after, why=why, never=never)
+            )
+        case ev.GroupFailed(ask, why):
+            return event(group_failed=event.GroupFailed(ask=ask, why=why))
+        case ev.GroupTried(ask, tries, why, again):
+            return event(group_tried=event.GroupTried(ask=ask, tries=tries, why=why, again_in_us=again))
+        case ev.MemberEnded(ask, member, finished, reason):
+            return event(
+                member_ended=event.MemberEnded(
+                    ask=ask,
+                    member=member,
+                    finished=finished,
+                    reason=int(reason),  # type: ignore[arg-type]
+                )
+            )
+        case ev.GroupEnded(ask, finished):
+            return event(group_ended=event.GroupEnded(ask=ask, finished=finished))
     raise TypeError(f"not a word: {word!r}")
--- a/stairplank/planner/core.py
+++ b/stairplank/planner/core.py
@@ -17,6 +17,9 @@
 
 from .. import interface as api
 from ..decide import Planner
+from ..groups import coordinator as gr
+from ..groups.coordinator import Coordinator, GroupConfig
+from ..groups.spec import GroupSpec, Room, check
 from . import admission, leftovers
 from . import events as ev
 from .events import AttemptId
@@ -44,6 +47,8 @@
     leftover_us: int = 30_000_000  # so long a node's word on a given-up attempt is waited for
     nodes_most: int = 10_000
     dials_most: int = 16  # under way at once
+    groups: GroupConfig = GroupConfig()
+    foundling_us: int = 1_000_000  # so long a restarted planner looks for the rest of a group that it finds
 
 
 class _Kind(IntEnum):
@@ -54,6 +59,9 @@
     REDIAL = 4
     STOP = 5
     LEFTOVER = 6
+    GROUPS = 7
+    FOUNDLING = 8
+    RELEASED = 9
 
 
 class _Due(NamedTuple):
@@ -107,6 +115,8 @@
         "bound",
         "shots",
         "withdrawn",
+        "group",
+        "ended",
         "last_reason",
         "proven",
     )
@@ -123,6 +133,8 @@
         self.bound: Attempt | None = None  # the one that runs, or was accepted where that binds
         self.shots = 0
         self.withdrawn = False
+        self.group: tuple[int, int] | None = None  # number and member, where it is one of a group
+        self.ended = ""  # how the last attempt went: "finished" or why not
         self.last_reason = api.Reason.UNTOLD
         self.proven = True  # every attempt that ended is proven not to have run
 
@@ -131,12 +143,33 @@
         return self.spec.owner, self.spec.key
 
 
+@dataclass(slots=True)
+class GroupRecord:
+    """A group as its owner knows it, and the placings of its present try."""
+
+    session: int
+    ask: int
+    spec: GroupSpec
+    placings: dict[int, Placing] = field(default_factory=dict)
+    placed: bool = False
+
+
+@dataclass(slots=True)
+class Foundling:
+    """Members of an earlier life's group, as nodes tell of them."""
+
+    size: int
+    until: int
+    members: dict[int, tuple[int, ev.HeldTask]] = field(default_factory=dict)
+
+
 @dataclass(slots=True)
 class Session:
     """An owner's stream."""
 
     owner: str
     asks: dict[int, Placing] = field(default_factory=dict)
+    groups: dict[int, int] = field(default_factory=dict)  # ask: number
     open: int = 0
 
 
@@ -166,6 +199,10 @@
         self.entries: dict[int, api.NodeEntry] = {}
         self.started: dict[int, tuple[int, int]] = {}  # node: its life on the list's clock, and on ours
         self.revision = 0
+        self.groups = Coordinator(settings, config.groups, seed ^ 0x6709)
+        self.group_records: dict[int, GroupRecord] = {}
+        self.foundlings: dict[tuple[int, int], Foundling] = {}
+        self._group_events: deque[tuple[str, int, int, Any]] = deque()
         self.open_tasks = 0
         self.stopping = False
         self.counts: dict[str, int] = {}
@@ -203,16 +240,20 @@
     @property
     def finished(self) -> bool:
         """Whether a stopping planner owes nothing more."""
-        return self.stopping and self.open_tasks == 0
+        owed = any(not g.answered for g in self.groups.groups.values())
+        return self.stopping and self.open_tasks == 0 and not owed
 
     def _feed(self, event: api.Event) -> None:
         self._module.append(event)
 
     def _run(self) -> None:
         """Let the module decide on what has been fed, and carry its actions out, until both are done."""
-        while self._module:
-            for action in self.module.handle(self.now, self._module.popleft()):
-                _CARRY[type(action)](self, action)
+        while self._module or self._group_events:
+            while self._module:
+                for action in self.module.handle(self.now, self._module.popleft()):
+                    _CARRY[type(action)](self, action)
+            if self._group_events:
+                self._group_event(*self._group_events.popleft())
 
     def _at(self, at: int, kind: _Kind, what: object) -> None:
         self._order += 1
@@ -234,6 +275,12 @@
                     self._redial(due.what)  # type: ignore[arg-type]
                 case _Kind.LEFTOVER:
                     self._leftover_over(due.what)  # type: ignore[arg-type]
+                case _Kind.GROUPS:
+                    self._carry_groups(self.groups.advance(self.now, self._room()))
+                case _Kind.FOUNDLING:
+                    self._foundling_over(due.what)  # type: ignore[arg-type]
+                case _Kind.RELEASED:
+                    self._released_over(due.what)  # type: ignore[arg-type]
                 case _Kind.STOP:
                     self._stop_over()
             self._run()
@@ -254,6 +301,10 @@
         self.by_owner.setdefault(event.owner, []).append(event.session)
         for placing in list(self.by_name.values()):
             # What runs for this owner and has no stream to be told on is this stream's from now on.
+            if placing.group is not None and placing.group[0] in self.group_records:
+                record = self.group_records[placing.group[0]]
+                if record.spec.owner == event.owner and record.session not in self.sessions:
+                    record.session, record.ask = event.session, 0
             if placing.spec.owner == event.owner and placing.bound and placing.session not in self.sessions:
                 placing.session, placing.ask = event.session, 0
                 self._tell(placing, ev.Found(0, placing.spec.key, placing.bound.node))
@@ -273,6 +324,12 @@
                 self._withdraw_open(placing)
             elif others:
                 placing.session, placing.ask = others[-1], 0
+        for number in list(session.groups.values()):
+            record = self.group_records.get(number)
+            if record is not None and record.placed:
+                record.session, record.ask = (others[-1] if others else 0), 0
+            elif record is not None:
+                self._carry_groups(self.groups.withdrawn(self.now, number))
 
     def _asked(self, event: ev.Asked) -> None:
         session = self.sessions[event.session]
@@ -306,7 +363,7 @@
     def _rejection(self, session: Session, event: ev.Asked) -> ev.Rejection | None:
         if self.stopping:
             return ev.Rejection("UNAVAILABLE", "", "this planner is leaving", admission.LEAVING_RETRY_US)
-        if event.ask <= 0 or event.ask in session.asks:
+        if event.ask <= 0 or event.ask in session.asks or event.ask in session.groups:
             message = "a number above 0 that no live ask of this stream has is needed"
             return ev.Rejection("INVALID_ARGUMENT", "ask", message)
         bounds = self.config.bounds
@@ -340,6 +397,10 @@
 
     def _withdrawn(self, event: ev.Withdrawn) -> None:
         session = self.sessions[event.session]
+        if event.ask in session.groups:
+            self._count("groups_withdrawn")
+            self._carry_groups(self.groups.withdrawn(self.now, session.groups[event.ask]))
+            return
         placing = session.asks.get(event.ask) if event.ask else self.by_name.get((session.owner, event.key))
         if placing is None:
             return  # it is over: the words have crossed
@@ -368,6 +429,8 @@
     def _answered(self, placing: Placing, fate: Fate) -> None:
         """The placing's one outcome is decided."""
         placing.fate = fate
+        if placing.group is not None:
+            return
         self.open_tasks -= 1
         session = self.sessions.get(placing.session)
         if session is not None:
@@ -377,7 +440,8 @@
         """Drop a placing of which nothing is left."""
         if placing.fate is Fate.OPEN or placing.attempts:
             return
-        self.placings.pop(placing.number, None)
+        if self.placings.pop(placing.number, None) is not None and placing.group is not None:
+            self._group_events.append(("over", *placing.group, placing))
         if self.by_name.get(placing.name) is placing:
             del self.by_name[placing.name]
         session = self.sessions.get(placing.session)
@@ -422,13 +486,25 @@
         placing = attempt.placing
         attempt.waiting = False
         wait = max(1, attempt.timeout - self.now)
-        self._out.append(ev.SendOffer(attempt.node, attempt.id, placing.spec, wait, placing.class_index))
+        tag = None
+        if placing.group is not None:
+            number, member = placing.group
+            size = self.group_records[number].spec.least
+            # Held at least until the try is over and its members were let run.
+            lease = placing.expires - self.now + self.config.groups.lease_us
+            tag = ev.GroupTag(self.life, number, size, member, max(1, lease))
+        self._out.append(ev.SendOffer(attempt.node, attempt.id, placing.spec, wait, placing.class_index, tag))
+        if placing.group is not None:
+            return
         self._tell(placing, ev.Offered(placing.ask, attempt.node, attempt.shot))
 
     def _refuse(self, action: api.Refuse) -> None:
         placing = self.placings.get(action.task)
         if placing is None or placing.fate is not Fate.OPEN:
             return
+        if placing.group is not None:
+            self._member_unplaced(placing)
+            return
         self._count("refused")
         self._answered(placing, Fate.REFUSED)
         self._tell(placing, ev.RefusedTask(placing.ask, action.retry_after_us, placing.last_reason))
@@ -438,6 +514,9 @@
         placing = self.placings.get(action.task)
         if placing is None or placing.fate is not Fate.OPEN:
             return
+        if placing.group is not None:
+            self._member_unplaced(placing)
+            return
         self._count("failed")
         may_run = bool(placing.attempts) or not placing.proven
         self._answered(placing, Fate.FAILED)
@@ -514,6 +593,13 @@
     def _give_up(self, attempt: Attempt, result: api.Result) -> None:
         """Tell the module an outcome that proves nothing; the node may still take the offer."""
         placing = attempt.placing
+        if placing.group is not None:
+            # It was never let run, and will not be: it is proven not to run, and is called back.
+            attempt.reported = True
+            self._feed_outcome(attempt, api.Result.UNREACHABLE, api.Reason.UNTOLD)
+            self._stop(attempt, ev.StopWhy.LEFT_OVER)
+            self._at(self.now + self.config.groups.lease_us, _Kind.RELEASED, attempt)
+            return
         attempt.reported = True
         placing.proven = False
         self._feed_outcome(attempt, result, api.Reason.UNTOLD)
@@ -548,6 +634,11 @@
         if reason is not api.Reason.UNTOLD:
             placing.last_reason = reason
         bound = placing.bound is attempt
+        if placing.group is not None:
+            how = reason.name.lower().replace("_", " ") if reason else result.value
+            placing.ended = "finished" if result is api.Result.FINISHED else how
+            if not attempt.running and result is api.Result.LOST:
+                result = api.Result.REFUSED  # it was held and never let run
         if not attempt.reported:
             attempt.reported = True
             if result not in api.PROVES_NOT_RUN:
@@ -555,6 +646,10 @@
             self._feed_outcome(attempt, result, reason)
         if bound:
             placing.bound = None
+            if placing.group is not None:
+                self._member_over(placing, result is api.Result.FINISHED, reason)
+                self._forget_if_over(placing)
+                return
             finished = result is api.Result.FINISHED
             self._count("finished" if finished else "lost")
             self._tell(placing, ev.EndedTask(placing.ask, placing.spec.key, finished, reason))
@@ -566,6 +661,9 @@
     def _copy(self, attempt: Attempt) -> None:
         """A given-up attempt is at its node all the same."""
         placing = attempt.placing
+        if placing.group is not None:
+            self._stop(attempt, ev.StopWhy.LEFT_OVER)
+            return
         effect = self.settings.classes[placing.class_index].effect
         match leftovers.on_word(effect, placing.fate):
             case leftovers.Copy.STOP:
@@ -626,9 +724,25 @@
         attempt.accepted = True
         if attempt.reported:
             self._copy(attempt)
-        elif not self.settings.confirms_running:
+        elif not self.settings.confirms_running and attempt.placing.group is None:
             self._place(attempt)
 
+    def _node_ready(self, event: ev.NodeReady) -> None:
+        attempt = self._heard(event.node, event.id)
+        if attempt is None:
+            self._unplaced_word(event.node)
+            return
+        placing = attempt.placing
+        attempt.accepted = True
+        if placing.group is None or placing.bound is attempt:
+            return
+        if attempt.reported or placing.fate is not Fate.OPEN:
+            self._stop(attempt, ev.StopWhy.LEFT_OVER)
+            return
+        placing.bound, placing.fate = attempt, Fate.PLACED
+        self._feed(api.Placed(placing.number, attempt.shot, attempt.node, self.now - attempt.sent))
+        self._group_events.append(("ready", *placing.group, attempt))
+
     def _node_running(self, event: ev.NodeRunning) -> None:
         attempt = self._heard(event.node, event.id)
         if attempt is None:
@@ -640,6 +754,9 @@
         if attempt.reported:
             if fresh:
                 self._copy(attempt)
+        elif attempt.placing.group is not None:
+            if attempt is attempt.placing.bound:
+                self._group_events.append(("running", *attempt.placing.group, attempt))
         elif attempt is attempt.placing.bound:
             shot, number = attempt.shot, attempt.placing.number
             self._feed(api.Note(number, shot, event.node, api.NoteKind.RUNNING, 1.0))
@@ -829,6 +946,9 @@
             self._log("held task of an unknown class", node=node, task_class=held.task.task_class)
             return
         known = self.by_name.get((held.task.owner, held.task.key))
+        if held.group is not None:
+            self._held_member(node, held, held.group)
+            return
         effect = self.settings.classes[index].effect
         fate = Fate.UNKNOWN if known is None else known.fate
         if leftovers.on_word(effect, fate) is leftovers.Copy.STOP:
@@ -968,16 +1088,255 @@
         self._count("list_failures")
         self._feed(api.NodeList(api.ListKind.FAILED))
 
+    # Groups
+
+    def _asked_group(self, event: ev.AskedGroup) -> None:
+        session = self.sessions[event.session]
+        least = event.least or len(event.members)
+        spec = GroupSpec(
+            session.owner, event.members, least, event.same_rack, event.distinct_nodes, event.distinct_racks
+        )
+        rejection = self._group_rejection(session, event, spec)
+        if rejection is not None:
+            self._count("rejected")
+            self._out.append(ev.Tell(event.session, ev.Rejected(event.ask, rejection)))
+            return
+        self._number += 1
+        number = self._number
+        self.group_records[number] = GroupRecord(event.session, event.ask, spec)
+        session.groups[event.ask] = number
+        self._count("groups_taken")
+        self._out.append(ev.Tell(event.session, ev.Taken(event.ask, number)))
+        deadline = self.now + event.wait_us
+        self._carry_groups(self.groups.asked(self.now, number, spec, deadline, self._room()))
+
+    def _group_rejection(
+        self, session: Session, event: ev.AskedGroup, spec: GroupSpec
+    ) -> ev.Rejection | None:
+        if self.stopping:
+            return ev.Rejection("UNAVAILABLE", "", "this planner is leaving", admission.LEAVING_RETRY_US)
+        if event.ask <= 0 or event.ask in session.asks or event.ask in session.groups:
+            message = "a number above 0 that no live ask of this stream has is needed"
+            return ev.Rejection("INVALID_ARGUMENT", "ask", message)
+        wrong = check(spec, event.least)
+        if wrong is not None:
+            return wrong
+        bounds = self.config.bounds
+        for i, member in enumerate(event.members):
+            if member.owner != session.owner:
+                message = "is not the stream's owner"
+                return ev.Rejection("INVALID_ARGUMENT", f"members[{i}].owner", message)
+            wrong = admission.invalid(member, event.wait_us, bounds, self.settings, self.config.tenants)
+            if wrong is not None:
+                field = wrong.field.replace("task.", f"members[{i}].")
+                return ev.Rejection(wrong.code, field, wrong.message)
+            if (member.owner, member.key) in self.by_name:
+                message = "this task waits, runs or may run already"
+                return ev.Rejection("ALREADY_EXISTS", f"members[{i}].key", message, admission.BUSY_RETRY_US)
+        if len(self.groups.groups) >= self.config.groups.groups_most:
+            message = f"{len(self.groups.groups)} groups are looked after here"
+            return ev.Rejection("RESOURCE_EXHAUSTED", "", message, admission.BUSY_RETRY_US)
+        return admission.no_room(self.open_tasks, session.open, len(self.attempts), bounds)
+
+    def _room(self) -> Room:
+        """The fleet as it is believed to be."""
+        s = self.settings
+        ready = [e for e in self.entries.values() if e.status is api.NodeStatus.READY and e.kind >= 0]
+        cores = memory = free_cores = free_memory = 0.0
+        for entry in ready:
+            kind = s.kinds[entry.kind]
+            cores += kind.cores * s.cores_limit
+            memory += kind.memory * s.memory_limit
+            free_cores += max(0.0, kind.cores * (s.cores_limit - 1) + entry.free_cores)
+            free_memory += max(0.0, kind.memory * (s.memory_limit - 1) + entry.free_memory)
+        racks = len({entry.group for entry in ready})
+        return Room(len(ready), racks, cores, memory, free_cores, free_memory)
+
+    def _rack(self, node: int) -> str:
+        entry = self.entries.get(node)
+        return f"?{node}" if entry is None else str(entry.group)
+
+    def _group_event(self, what: str, number: int, member: int, of: Any) -> None:
+        groups = self.groups
+        if what == "over":
+            record = self.group_records.get(number)
+            if record is None or of is None or record.placings.get(member) is not of:
+                return  # of a try that is long over
+            why = of.ended or "no place was found"
+            out = groups.over(self.now, number, member, of.ended == "finished", why)
+        elif what == "ready":
+            out = groups.ready(self.now, number, member, of.node, self._rack(of.node))
+        else:
+            out = groups.running(self.now, number, member)
+        self._carry_groups(out)
+
+    def _carry_groups(self, actions: list[gr.Action]) -> None:
+        for action in actions:
+            record = self.group_records.get(action.group)
+            if record is not None:
+                self._carry_group(action, record)
+        due = self.groups.next_due()
+        if due is not None:
+            self._at(due, _Kind.GROUPS, None)
+
+    def _carry_group(self, action: gr.Action, record: GroupRecord) -> None:
+        match action:
+            case gr.Try(number, member, until):
+                self._number += 1
+                spec = record.spec.members[member]
+                placing = Placing(self._number, record.session, 0, spec, self.classes[spec.task_class])
+                placing.group = (number, member)
+                placing.expires = until
+                record.placings[member] = placing
+                self.placings[placing.number] = self.by_name[placing.name] = placing
+                self._count("members_tried")
+                self._feed(api.TaskAsked(self._task(placing)))
+            case gr.LetRun(_, members, lease):
+                for node, ids in self._ids(record, members):
+                    self._out.append(ev.SendCommit(node, ids, lease))
+            case gr.Keep(_, members, lease):
+                for node, ids in self._ids(record, members):
+                    self._out.append(ev.SendKeep(node, ids, lease))
+            case gr.Release(_, members):
+                for member in members:
+                    self._release_member(record.placings[member])
+            case gr.Placed(_, members, met, tries):
+                record.placed = True
+                self._count("groups_placed")
+                bound = [(m, record.placings[m].bound) for m in members]
+                bindings = tuple((m, a.node) for m, a in bound if a is not None)
+                self._tell_group(record, ev.GroupPlaced(record.ask, bindings, met, tries))
+            case gr.Refused(number, why, never, after):
+                self._count("groups_refused")
+                self._tell_group(record, ev.GroupRefused(record.ask, after, why, never))
+                self._drop_group(number, record)
+            case gr.Failed(number, why):
+                self._count("groups_failed")
+                self._tell_group(record, ev.GroupFailed(record.ask, why))
+                self._drop_group(number, record)
+            case gr.Tried(_, tries, why, again):
+                self._count("groups_tried_again")
+                self._tell_group(record, ev.GroupTried(record.ask, tries, why, again))
+            case gr.Ended(number, finished):
+                self._count("groups_finished" if finished else "groups_lost")
+                self._tell_group(record, ev.GroupEnded(record.ask, finished))
+                self._drop_group(number, record)
+        if action.group not in self.groups.groups:
+            self._drop_group(action.group, record)
+
+    def _ids(self, record: GroupRecord, members: tuple[int, ...]) -> list[tuple[int, tuple[AttemptId, ...]]]:
+        """The bound attempts of members, by node, over links that are up."""
+        by_node: dict[int, list[AttemptId]] = {}
+        for member in members:
+            attempt = record.placings[member].bound
+            if attempt is None:
+                continue
+            link = self.links.get(attempt.node)
+            if link is not None and link.state is State.UP:
+                by_node.setdefault(attempt.node, []).append(attempt.id)
+        return [(node, tuple(ids)) for node, ids in by_node.items()]
+
+    def _tell_group(self, record: GroupRecord, word: ev.GroupWord) -> None:
+        if record.session in self.sessions:
+            self._out.append(ev.Tell(record.session, word))
+
+    def _drop_group(self, number: int, record: GroupRecord) -> None:
+        if self.group_records.pop(number, None) is not None and record.session in self.sessions:
+            self.sessions[record.session].groups.pop(record.ask, None)
+
+    def _member_unplaced(self, placing: Placing) -> None:
+        """The module found no place for a member in this try; attempts that are out are called back."""
+        placing.fate = Fate.FAILED
+        self._call_back(placing)
+
+    def _release_member(self, placing: Placing) -> None:
+        if placing.fate is Fate.OPEN:
+            placing.fate = Fate.WITHDRAWN
+            self._feed(api.TaskWithdrawn(placing.number))
+        placing.withdrawn = True
+        self._call_back(placing)
+
+    def _call_back(self, placing: Placing) -> None:
+        for attempt in list(placing.attempts.values()):
+            if attempt.waiting:
+                self._over(attempt, api.Result.NOT_SENT)
+            else:
+                self._stop(attempt, ev.StopWhy.LEFT_OVER)
+                # Its last word may be lost; the lease bounds how long the node can hold it.
+                link = self.config.groups.lease_us + self.config.groups.gather_most_us
+                self._at(self.now + link, _Kind.RELEASED, attempt)
+        self._forget_if_over(placing)
+
+    def _released_over(self, attempt: Attempt) -> None:
+        """No last word on a member that was called back: its lease has run out by now."""
+        if self.attempts.get(attempt.id) is attempt and attempt.placing.group is not None:
+            self._over(attempt, api.Result.CANCELLED)
+
+    def _member_over(self, placing: Placing, finished: bool, reason: api.Reason) -> None:
+        assert placing.group is not None
+        record = self.group_records.get(placing.group[0])
+        if record is not None and record.placed:
+            self._tell_group(record, ev.MemberEnded(record.ask, placing.group[1], finished, reason))
+
+    def _held_member(self, node: int, held: ev.HeldTask, tag: ev.GroupTag) -> None:
+        """A member of a group of an earlier life, or of a try that was given up.
+
+        Of an earlier life's group those that run are kept while the rest is looked for; when all have been
+        found the group goes on, else it is released. Members that were never let run are released at once.
+        """
+        if not held.running or tag.life == self.life:
+            self._out.append(ev.SendStop(node, held.id, ev.StopWhy.LEFT_OVER))
+            return
+        key = (tag.life, tag.group)
+        found = self.foundlings.get(key)
+        if found is None:
+            until = self.now + self.config.foundling_us
+            found = self.foundlings[key] = Foundling(tag.size, until)
+            self._at(until, _Kind.FOUNDLING, key)
+        found.members[tag.member] = (node, held)
+        self._out.append(ev.SendKeep(node, (held.id,), self.config.groups.lease_us))
+        if len(found.members) >= found.size:
+            del self.foundlings[key]
+            self._go_on(found)
+
+    def _go_on(self, found: Foundling) -> None:
+        """All members of an earlier life's group run: it is ours to keep from now on."""
+        self._number += 1
+        number = self._number
+        held = [found.members[m] for m in sorted(found.members)]
+        owner = held[0][1].task.owner
+        spec = GroupSpec(owner, tuple(task.task for _, task in held), found.size)
+        session = (self.by_owner.get(owner) or [0])[-1]
+        record = self.group_records[number] = GroupRecord(session, 0, spec, placed=True)
+        for member, (node, task) in enumerate(held):
+            self._adopt(node, task.id, task.task, True)
+            placing = self.attempts[task.id].placing
+            placing.group = (number, member)
+            record.placings[member] = placing
+        self._count("groups_found")
+        nodes = {m: (node, self._rack(node)) for m, (node, _) in enumerate(held)}
+        self._carry_groups(self.groups.found(self.now, number, spec, nodes))
+
+    def _foundling_over(self, key: tuple[int, int]) -> None:
+        """The rest of the group did not show itself: half a group is released."""
+        found = self.foundlings.pop(key, None)
+        if found is not None:
+            self._count("groups_released")
+            self._log("half a group found", members=len(found.members), size=found.size)
+            for node, held in found.members.values():
+                self._out.append(ev.SendStop(node, held.id, ev.StopWhy.LEFT_OVER))
+
     # Leaving
 
     def _stop_asked(self, event: ev.StopAsked) -> None:
         if not self.stopping:
             self.stopping = True
+            self._carry_groups(self.groups.leave(self.now))
             self._at(self.now + self.config.stop_grace_us, _Kind.STOP, None)
 
     def _stop_over(self) -> None:
         """What is still owed is answered now: refused where a retry is proven harmless, else failed."""
-        for placing in [p for p in self.placings.values() if p.fate is Fate.OPEN]:
+        for placing in [p for p in self.placings.values() if p.fate is Fate.OPEN and p.group is None]:
             effect = self.settings.classes[placing.class_index].effect
             out = any(not a.waiting for a in placing.attempts.values())
             harmless = effect is REPEATABLE or (placing.proven and not out)
@@ -994,6 +1353,8 @@
     ev.OwnerCame: Core._owner_came,
     ev.OwnerLeft: Core._owner_left,
     ev.Asked: Core._asked,
+    ev.AskedGroup: Core._asked_group,
+    ev.NodeReady: Core._node_ready,
     ev.Withdrawn: Core._withdrawn,
     ev.ListTold: Core._list_told,
     ev.ListFailed: Core._list_failed,
--- a/stairplank/planner/daemon.py
+++ b/stairplank/planner/daemon.py
@@ -299,6 +299,12 @@
                     self._tell(action)
                 case ev.SendOffer():
                     self._send_offer(action)
+                case ev.SendCommit():
+                    if action.node in self.links:
+                        self._send(self.links[action.node], convert.commit_to(action), None)
+                case ev.SendKeep():
+                    if action.node in self.links:
+                        self._send(self.links[action.node], convert.keep_to(action), None)
                 case ev.SendStop():
                     link = self.links.get(action.node)
                     if link is not None:
@@ -345,7 +351,8 @@
         self.feed(ev.OwnerCame(session, owner))
         try:
             self._read_owner(call, session, owner)
-            while session in self.owners and self.core.sessions[session].asks:
+            core = self.core
+            while session in self.owners and (core.sessions[session].asks or core.sessions[session].groups):
                 gevent.sleep(0.02)  # no more asks come, but what was asked for still runs
         finally:
             if self.owners.pop(session, None) is not None:
@@ -362,12 +369,14 @@
                     else:
                         ask.task.owner = owner
                         self.feed(ev.Asked(session, ask.ask, convert.spec_from(ask.task), ask.wait_us))
+                case "ask_group":
+                    self.feed(convert.group_from(session, message.ask_group, owner))
                 case "withdraw":
                     self.feed(ev.Withdrawn(session, message.withdraw.ask, message.withdraw.key))
                 case "hello":
                     raise RpcError(Code.INVALID_ARGUMENT, "hello: only the first message may be one")
                 case _:
-                    raise RpcError(Code.INVALID_ARGUMENT, "kind: one of ask, withdraw is needed")
+                    raise RpcError(Code.INVALID_ARGUMENT, "kind: one of ask, ask_group, withdraw is needed")
             taken += 1
             if taken % WORK_BATCH == 0:
                 gevent.sleep(0)
--- a/stairplank/planner/events.py
+++ b/stairplank/planner/events.py
@@ -32,6 +32,16 @@
     attempt: int
 
 
+class GroupTag(NamedTuple):
+    """What a node knows of a member's group."""
+
+    life: int
+    group: int
+    size: int  # members that must run together
+    member: int
+    lease_us: int
+
+
 class StopWhy(Enum):
     WITHDRAWN = "withdrawn"
     MOVED = "moved"
@@ -69,6 +79,18 @@
     key: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class AskedGroup:
+    session: int
+    ask: int
+    members: tuple[TaskSpec, ...]
+    wait_us: int
+    least: int = 0
+    same_rack: bool = False
+    distinct_nodes: bool = False
+    distinct_racks: bool = False
+
+
 @dataclass(frozen=True, slots=True)
 class ListedNode:
     """A line of the node list as the directory sends it."""
@@ -129,6 +151,14 @@
     id: AttemptId
 
 
+@dataclass(frozen=True, slots=True)
+class NodeReady:
+    """A member of a group is held ready."""
+
+    node: int
+    id: AttemptId
+
+
 @dataclass(frozen=True, slots=True)
 class NodeRunning:
     node: int
@@ -176,6 +206,7 @@
     id: AttemptId
     task: TaskSpec
     running: bool
+    group: GroupTag | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -212,6 +243,7 @@
     OwnerCame
     | OwnerLeft
     | Asked
+    | AskedGroup
     | Withdrawn
     | ListTold
     | ListFailed
@@ -219,6 +251,7 @@
     | DialFailed
     | LinkDown
     | NodeAccepted
+    | NodeReady
     | NodeRunning
     | NodeRefused
     | NodeError
@@ -301,7 +334,52 @@
     node: int
 
 
-OwnerWord = Rejected | Taken | Offered | PlacedAt | RefusedTask | FailedTask | EndedTask | Found
+@dataclass(frozen=True, slots=True)
+class GroupPlaced:
+    ask: int
+    bindings: tuple[tuple[int, int], ...]  # member, node
+    wishes_met: bool
+    tries: int
+
+
+@dataclass(frozen=True, slots=True)
+class GroupRefused:
+    ask: int
+    retry_after_us: int
+    why: str
+    never: bool
+
+
+@dataclass(frozen=True, slots=True)
+class GroupFailed:
+    ask: int
+    why: str
+
+
+@dataclass(frozen=True, slots=True)
+class GroupTried:
+    ask: int
+    tries: int
+    why: str
+    again_in_us: int
+
+
+@dataclass(frozen=True, slots=True)
+class MemberEnded:
+    ask: int
+    member: int
+    finished: bool
+    reason: api.Reason
+
+
+@dataclass(frozen=True, slots=True)
+class GroupEnded:
+    ask: int
+    finished: bool
+
+
+GroupWord = GroupPlaced | GroupRefused | GroupFailed | GroupTried | MemberEnded | GroupEnded
+OwnerWord = Rejected | Taken | Offered | PlacedAt | RefusedTask | FailedTask | EndedTask | Found | GroupWord
 
 
 # Actions
@@ -314,6 +392,23 @@
     task: TaskSpec
     wait_us: int
     class_index: int
+    group: GroupTag | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class SendCommit:
+    """Let these members run."""
+
+    node: int
+    ids: tuple[AttemptId, ...]
+    lease_us: int
+
+
+@dataclass(frozen=True, slots=True)
+class SendKeep:
+    node: int
+    ids: tuple[AttemptId, ...]
+    lease_us: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -369,4 +464,17 @@
     fields: dict[str, object]
 
 
-Action = SendOffer | SendStop | Dial | HangUp | AskHeld | ProbeNode | StartWatch | FetchWhole | Tell | Report
+Action = (
+    SendOffer
+    | SendCommit
+    | SendKeep
+    | SendStop
+    | Dial
+    | HangUp
+    | AskHeld
+    | ProbeNode
+    | StartWatch
+    | FetchWhole
+    | Tell
+    | Report
+)
--- a/stairplank/standin/farm.py
+++ b/stairplank/standin/farm.py
@@ -38,6 +38,8 @@
     match word.what:
         case "accepted":
             return _EVENT(accepted=_EVENT.Accepted(id=id))
+        case "ready":
+            return _EVENT(ready=_EVENT.Ready(id=id))
         case "running":
             return _EVENT(running=_EVENT.Running(id=id))
         case "refused":
@@ -190,8 +192,15 @@
                         offer.wait_us,
                         offer.priority,
                         offer.window_us,
+                        convert.tag_from(offer.group) if offer.HasField("group") else None,
                     )
                 )
+            case "commit":
+                ids = [convert.id_from(i) for i in request.commit.ids]
+                self.say(node.commit(now_us(), ids, request.commit.lease_us))
+            case "keep":
+                ids = [convert.id_from(i) for i in request.keep.ids]
+                self.say(node.keep(now_us(), ids, request.keep.lease_us))
             case "stop":
                 self.say(node.stop(now_us(), convert.id_from(request.stop.id)))
             case "probe":
@@ -227,7 +236,12 @@
         answer = node_pb2.HeldResponse(node=self.id, started_unix_us=self.started_unix_us)
         for offer in node.holds(request.planner):
             running = offer.stage.value == "running"
-            answer.tasks.add(id=convert.id_to(offer.id), task=convert.task_to(offer.task), running=running)
+            answer.tasks.add(
+                id=convert.id_to(offer.id),
+                task=convert.task_to(offer.task),
+                running=running,
+                group=convert.tag_to(offer.group) if offer.group is not None else None,
+            )
         return answer
 
     # The node list
--- a/stairplank/standin/node.py
+++ b/stairplank/standin/node.py
@@ -14,7 +14,7 @@
 from enum import Enum
 
 from .. import interface as api
-from ..planner.events import AttemptId, TaskSpec
+from ..planner.events import AttemptId, GroupTag, TaskSpec
 
 FAILS_US = 20_000  # how long a start that fails takes
 
@@ -52,6 +52,7 @@
     WAITING = "waiting"  # not looked at
     ACCEPTED = "accepted"  # room is taken; not begun
     STARTING = "starting"
+    READY = "ready"  # a member of a group, made ready and held until it is let run
     RUNNING = "running"
 
 
@@ -69,6 +70,21 @@
     stage: Stage = Stage.WAITING
     ends: int = 0  # of the start, or of the task; 0: not by itself
     fails: bool = False  # its start will
+    group: GroupTag | None = None
+    kept_until: int = 0  # a member of a group is released by the node after that; 0: not accepted yet
+    let_run: bool = False
+
+    @property
+    def begun(self) -> bool:
+        """It may have had an effect. A member that is held never has."""
+        if self.group is not None:
+            return self.let_run
+        return self.stage in (Stage.STARTING, Stage.RUNNING)
+
+
+def _due(offer: Offer) -> int:
+    """When something happens to it by itself."""
+    return min((at for at in (offer.ends, offer.kept_until) if at), default=2**62)
 
 
 @dataclass(slots=True)
@@ -93,7 +109,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Said:
-    """A word to a planner about an attempt. ``what``: accepted, running, refused, error, ended, usage."""
+    """A word to a planner about an attempt.
+
+    ``what`` is one of accepted, ready, running, refused, error, ended, usage.
+    """
 
     planner: int
     what: str
@@ -167,12 +186,13 @@
         wait_us: int,
         priority: int,
         window_us: int,
+        group: GroupTag | None = None,
     ) -> list[Word]:
         self.out = []
         self._advance(now)
         if self.down or id in self.held:
             return self.out
-        offer = Offer(planner, id, task, now + wait_us, priority, window_us, now)
+        offer = Offer(planner, id, task, now + wait_us, priority, window_us, now, group=group)
         self._push(now)
         if self.down:
             return self.out
@@ -192,15 +212,39 @@
         self._advance(now)
         offer = self.held.get(id)
         if offer is not None and not self.down:
-            if offer.stage in (Stage.WAITING, Stage.ACCEPTED):
-                self._release(offer)
-                self._say(offer, "refused", reason=api.Reason.NOT_HERE)
-            else:
-                self._release(offer)
-                self._say(offer, "ended", api.Result.CANCELLED)
+            self._end_early(offer)
             self._begin(now)
         return self.out
 
+    def _end_early(self, offer: Offer) -> None:
+        self._release(offer)
+        if offer.begun:
+            self._say(offer, "ended", api.Result.CANCELLED)
+        else:
+            self._say(offer, "refused", reason=api.Reason.NOT_HERE)
+
+    def commit(self, now: int, ids: list[AttemptId], lease_us: int) -> list[Word]:
+        """Let members run. Those that are not held any more are passed over: their word is on its way."""
+        self.out = []
+        self._advance(now)
+        for id in ids:
+            offer = self.held.get(id)
+            if offer is not None and offer.stage is Stage.READY and not self.down:
+                offer.let_run = True
+                offer.kept_until = now + lease_us
+                self._run(offer, now)
+        return self.out
+
+    def keep(self, now: int, ids: list[AttemptId], lease_us: int) -> list[Word]:
+        """Renew leases."""
+        self.out = []
+        self._advance(now)
+        for id in ids:
+            offer = self.held.get(id)
+            if offer is not None and offer.group is not None and offer.kept_until:
+                offer.kept_until = now + lease_us
+        return self.out
+
     def probe(self, now: int, token: int) -> list[Word]:
         self.out = []
         self._advance(now)
@@ -231,6 +275,7 @@
             return None
         times = [self.look_ends] if self.line and self.look_ends else []
         times += [o.ends for o in self.held.values() if o.ends]
+        times += [o.kept_until for o in self.held.values() if o.kept_until]
         return min(times, default=None)
 
     def holds(self, planner: int) -> list[Offer]:
@@ -262,8 +307,13 @@
                 return
             if self.line and self.look_ends == due:
                 self._looked(due)
+                continue
+            offer = min(self.held.values(), key=lambda o: (_due(o), o.id))
+            if offer.kept_until and offer.kept_until <= due:
+                # Nobody keeps it any more: its group never became whole, or its planner is gone.
+                self._end_early(offer)
+                self._begin(due)
             else:
-                offer = min((o for o in self.held.values() if o.ends), key=lambda o: (o.ends, o.id))
                 self._end(offer, due)
 
     def _push(self, now: int) -> None:
@@ -310,6 +360,8 @@
             self._say(offer, "refused", reason=reason)
             return
         offer.stage = Stage.ACCEPTED
+        if offer.group is not None:
+            offer.kept_until = now + offer.group.lease_us
         self.asked_cores += task.cores
         self.asked_memory += task.memory
         self.changed = True
@@ -365,20 +417,11 @@
         if offer.stage is Stage.STARTING and offer.fails:
             self._release(offer)
             self._say(offer, "error")
+        elif offer.stage is Stage.STARTING and offer.group is not None:
+            offer.stage, offer.ends = Stage.READY, 0
+            self._say(offer, "ready")
         elif offer.stage is Stage.STARTING:
-            offer.stage = Stage.RUNNING
-            offer.ends = now + offer.task.life_us if offer.task.life_us else 0
-            self._say(offer, "running")
-            task, model = offer.task, self.model
-            self.out.append(
-                Said(
-                    offer.planner,
-                    "usage",
-                    offer.id,
-                    cores=task.cores * model.cores_use,
-                    memory=task.memory * model.memory_use,
-                )
-            )
+            self._run(offer, now)
         else:
             self._release(offer)
             if offer.window_us:
@@ -387,10 +430,17 @@
             self._say(offer, "ended", api.Result.FINISHED)
         self._begin(now)
 
+    def _run(self, offer: Offer, now: int) -> None:
+        offer.stage = Stage.RUNNING
+        offer.ends = now + offer.task.life_us if offer.task.life_us else 0
+        self._say(offer, "running")
+        task, model = offer.task, self.model
+        cores, memory = task.cores * model.cores_use, task.memory * model.memory_use
+        self.out.append(Said(offer.planner, "usage", offer.id, cores=cores, memory=memory))
+
     def _send_away(self, offer: Offer, reason: api.Reason) -> None:
-        begun = offer.stage in (Stage.STARTING, Stage.RUNNING)
         self._release(offer)
-        if begun:
+        if offer.begun:
             self._say(offer, "ended", api.Result.LOST, reason)
         else:
             self._say(offer, "refused", reason=api.Reason.NOT_HERE)
@@ -405,7 +455,7 @@
         self.changed = True
         if self.copies.standing.get((task.owner, task.key)) == offer.id:
             del self.copies.standing[task.owner, task.key]
-        if offer.stage in (Stage.STARTING, Stage.RUNNING):
+        if offer.stage in (Stage.STARTING, Stage.READY, Stage.RUNNING):
             self.programs[task.service] -= 1
             if self.programs[task.service] <= 0:
                 del self.programs[task.service]
--- /dev/null
+++ b/tests/groups/test_coordinator.py
@@ -0,0 +1,476 @@
+"""The coordinator by itself: each hard case, and a model that is walked at random (derandomized)."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import Any
+
+import pytest
+from hypothesis import HealthCheck, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from stairplank import interface as api
+from stairplank.groups import coordinator as gr
+from stairplank.groups.coordinator import Coordinator, GroupConfig, Member, Stand
+from stairplank.groups.spec import GroupSpec, Room, check, never, scarcity
+from stairplank.planner.events import TaskSpec
+
+MS, SECOND = 1_000, 1_000_000
+CLASSES = (
+    api.TaskClass("worker", api.Effect.REPEATABLE, api.Scope.ALL, 0, SECOND, 9 * SECOND),
+    api.TaskClass("report", api.Effect.ONCE, api.Scope.ALL, 0, SECOND, 9 * SECOND),
+    api.TaskClass(
+        "apart",
+        api.Effect.REPEATABLE,
+        api.Scope.ALL,
+        0,
+        SECOND,
+        9 * SECOND,
+        spread=api.Scope.NODE,
+        spread_most=1,
+    ),  # fmt: skip
+    api.TaskClass("pinned", api.Effect.REPEATABLE, api.Scope.ALL, 0, SECOND, 9 * SECOND, node_kind=1),
+)
+SETTINGS = api.Settings(
+    planners=1, position=0, zone=0, classes=CLASSES,
+    kinds=(api.NodeKind("std", 16.0, 32.0), api.NodeKind("big", 64.0, 128.0)),
+    mean_cores=1.0, mean_memory=2.0, cores_limit=1.0, memory_limit=1.0, confirms_running=True, preempts=False,
+    max_attempts=3, answer_slack_us=50 * MS, drain_grace_us=250 * MS, cold_share=0.2, cold_us=SECOND,
+    fall_multiple=2.0, fall_us=SECOND, fresh_offers=10.0, must_ask=True, ask_within_us=SECOND,
+    tick_us=10 * MS,
+)  # fmt: skip
+ROOM = Room(10, 5, 160.0, 320.0, 160.0, 320.0)
+
+
+def task(key: int, sort: str = "worker", cores: float = 1.0, service: int = 5) -> TaskSpec:
+    return TaskSpec("o", key, sort, "", service, cores, 2.0, 0, False)
+
+
+def spec(count: int = 3, least: int = 0, sort: str = "worker", **wishes: bool) -> GroupSpec:
+    return GroupSpec("o", tuple(task(i + 1, sort) for i in range(count)), least or count, **wishes)
+
+
+class World:
+    def __init__(self, room: Room = ROOM, **config: Any) -> None:
+        self.c = Coordinator(SETTINGS, GroupConfig(**config), 5)
+        self.now, self.room = 100 * SECOND, room
+        self.out: list[gr.Action] = []
+
+    def take(self, actions: list[gr.Action]) -> list[gr.Action]:
+        self.out += actions
+        return actions
+
+    def ask(self, group: GroupSpec, wait: int = 9 * SECOND, number: int = 1) -> list[gr.Action]:
+        return self.take(self.c.asked(self.now, number, group, self.now + wait, self.room))
+
+    def ready(self, *members: int, number: int = 1, node: int = 0) -> list[gr.Action]:
+        out = []
+        for m in members:
+            out += self.take(self.c.ready(self.now, number, m, node or m + 1, f"r{(node or m + 1) // 2}"))
+        return out
+
+    def running(self, *members: int) -> list[gr.Action]:
+        return [a for m in members for a in self.take(self.c.running(self.now, 1, m))]
+
+    def over(self, *members: int, finished: bool = False) -> list[gr.Action]:
+        return [a for m in members for a in self.take(self.c.over(self.now, 1, m, finished, "no cores"))]
+
+    def wait(self, us: int) -> list[gr.Action]:
+        out: list[gr.Action] = []
+        until = self.now + us
+        while (due := self.c.next_due()) is not None and due <= until:
+            self.now = max(self.now, due)
+            out += self.take(self.c.advance(self.now, self.room))
+        self.now = until
+        return out
+
+    def all(self, kind: type) -> list[Any]:
+        return [a for a in self.out if isinstance(a, kind)]
+
+
+def test_all_ready_then_all_run() -> None:
+    w = World()
+    assert [a.member for a in w.ask(spec()) if isinstance(a, gr.Try)] == [0, 1, 2]
+    assert w.ready(0, 1) == []
+    (let_run,) = w.ready(2)
+    assert isinstance(let_run, gr.LetRun) and let_run.members == (0, 1, 2)
+    assert w.running(0, 1) == []
+    placed, keep = w.running(2)
+    assert placed == gr.Placed(1, (0, 1, 2), True, 1) and isinstance(keep, gr.Keep)
+    assert w.over(0, 1, finished=True) == []
+    assert w.over(2, finished=True) == [gr.Ended(1, True)] and not w.c.groups
+
+
+def test_the_last_member_is_refused() -> None:
+    w = World()
+    w.ask(spec())
+    w.ready(0, 1)
+    assert w.over(2) == [gr.Release(1, (0, 1))]
+    assert w.wait(5 * SECOND) == []  # nothing is tried before every attempt is over
+    tried = w.over(0, 1)
+    assert isinstance(tried[-1], gr.Tried) and tried[-1].why == "no cores"
+    assert [a.member for a in w.wait(4 * SECOND) if isinstance(a, gr.Try)] == [0, 1, 2]
+
+
+def test_two_run_and_a_node_vanishes() -> None:
+    w = World()
+    w.ask(spec())
+    w.ready(0, 1, 2)
+    w.running(0, 1)
+    assert w.over(1) == [gr.Release(1, (0, 2))]
+    w.over(0, 2)
+    assert w.all(gr.Tried) and not w.all(gr.Placed)
+
+
+def test_a_once_member_that_was_let_run_is_not_sent_again() -> None:
+    w = World()
+    w.ask(spec(sort="report"))
+    w.ready(0, 1, 2)
+    w.running(0)
+    w.over(1)
+    assert w.over(0, 2) == [gr.Failed(1, "a member was lost before all ran: no cores")]
+    assert w.wait(9 * SECOND) == [] and not w.c.groups
+
+
+def test_a_once_member_that_was_only_held_is_tried_again() -> None:
+    w = World()
+    w.ask(spec(sort="report"))
+    w.ready(0, 1)
+    w.over(2)
+    w.over(0, 1)
+    assert [a for a in w.wait(4 * SECOND) if isinstance(a, gr.Try)]
+
+
+def test_a_commit_that_is_not_heard_ends_the_group_in_bounded_time() -> None:
+    w = World()
+    w.ask(spec())
+    w.ready(0, 1, 2)
+    w.running(0, 1)
+    out = w.wait(1100 * MS)
+    assert [a.members for a in out if isinstance(a, gr.Release)] == [(0, 1, 2)]
+
+
+def test_a_lost_member_of_a_whole_group_releases_the_rest() -> None:
+    w = World()
+    w.ask(spec())
+    w.ready(0, 1, 2)
+    w.running(0, 1, 2)
+    assert w.over(1) == [gr.Release(1, (0, 2))]
+    assert w.over(0, 2) == [gr.Ended(1, False)]
+
+
+def test_leases_grow_by_steps_once_whole() -> None:
+    w = World()
+    w.ask(spec())
+    w.ready(0, 1, 2)
+    w.running(0, 1, 2)
+    w.wait(20 * SECOND)
+    leases = [a.lease_us for a in w.all(gr.Keep)]
+    assert leases == sorted(leases) and leases[-1] == w.c.config.lease_most_us
+    step = w.c.config.lease_step_us + w.c.config.keep_every_us
+    assert max(b - a for a, b in zip(leases, leases[1:], strict=False)) <= w.c.config.lease_step_us
+    assert step < 2 * SECOND  # two members whose last keepings differ by one end so near each other
+
+
+def test_the_owner_withdraws_when_all_but_one_run() -> None:
+    w = World()
+    w.ask(spec())
+    w.ready(0, 1, 2)
+    w.running(0, 1)
+    assert w.take(w.c.withdrawn(w.now, 1)) == [gr.Release(1, (0, 1, 2))]
+    w.over(0, 1, 2)
+    assert not w.c.groups and not w.all(gr.Placed) and not w.all(gr.Refused)
+
+
+def test_the_deadline_passes_while_it_gathers() -> None:
+    w = World()
+    w.ask(spec(), wait=2 * SECOND)
+    for _ in range(40):
+        for release in [a for a in w.wait(100 * MS) if isinstance(a, gr.Release)]:
+            w.over(*release.members)
+    (refused,) = w.all(gr.Refused)
+    assert not refused.never and not w.c.groups
+
+
+def test_least_members_make_it_whole() -> None:
+    w = World()
+    w.ask(spec(4, least=3))
+    w.ready(0, 1, 2)
+    assert w.over(3) and [a.members for a in w.all(gr.LetRun)] == [(0, 1, 2)]
+    w.running(0, 1, 2)
+    assert w.all(gr.Placed)[0].members == (0, 1, 2)
+    assert w.over(0) == [gr.Release(1, (1, 2))]
+
+
+def test_members_not_ready_in_time_are_left_out() -> None:
+    w = World()
+    w.ask(spec(4, least=3))
+    w.ready(0, 1, 2)
+    out = w.wait(4 * SECOND)
+    assert [a.members for a in out if isinstance(a, gr.Release)][0] == (3,)
+    assert [a.members for a in out if isinstance(a, gr.LetRun)] == [(0, 1, 2)]
+
+
+def test_one_member_and_sixty_four() -> None:
+    for count in (1, 64):
+        w = World(Room(100, 9, 1e6, 1e6, 1e6, 1e6))
+        w.ask(spec(count))
+        w.ready(*range(count))
+        w.running(*range(count))
+        assert len(w.all(gr.Placed)[0].members) == count
+
+
+@pytest.mark.parametrize(
+    ("wishes", "nodes", "met"),
+    [
+        ({"same_rack": True}, (2, 3, 3), True),
+        ({"same_rack": True}, (2, 3, 4), False),
+        ({"distinct_nodes": True}, (1, 2, 3), True),
+        ({"distinct_nodes": True}, (1, 2, 1), False),
+        ({"distinct_racks": True}, (1, 2, 4), True),
+        ({"distinct_racks": True}, (2, 3, 4), False),
+    ],
+)
+def test_wishes_are_tried_for_a_third_of_the_time(wishes: dict, nodes: tuple[int, ...], met: bool) -> None:
+    w = World()
+    w.ask(spec(**wishes))
+    for member, node in enumerate(nodes):
+        w.ready(member, node=node)
+    assert bool(w.all(gr.LetRun)) is met
+    if not met:
+        w.over(0, 1, 2)
+        assert w.all(gr.Tried)[0].why == "the bindings do not meet the wishes"
+        w.wait(4 * SECOND)
+        while not w.all(gr.LetRun):
+            for member, node in enumerate(nodes):
+                w.ready(member, node=node)
+            if not w.all(gr.LetRun):
+                w.over(0, 1, 2)
+                w.wait(SECOND)
+        w.running(0, 1, 2)
+        assert w.all(gr.Placed)[0].wishes_met is False
+
+
+@pytest.mark.parametrize(
+    ("group", "field"),
+    [
+        (GroupSpec("o", (), 0), "members"),
+        (spec(65), "members"),
+        (GroupSpec("o", (task(1), task(2), task(1)), 3), "members[2].key"),
+        (spec(same_rack=True, distinct_racks=True), "distinct_racks"),
+    ],
+)
+def test_groups_that_make_no_sense(group: GroupSpec, field: str) -> None:
+    wrong = check(group, 0)
+    assert wrong is not None and wrong.code == "INVALID_ARGUMENT" and wrong.field == field
+    assert check(spec(), 4).field == "least"  # type: ignore[union-attr]
+    assert check(spec(), 3) is None
+
+
+@pytest.mark.parametrize(
+    ("group", "says"),
+    [
+        (GroupSpec("o", (task(1, cores=90.0), task(2, cores=90.0)), 2), "180 cores"),
+        (spec(11, distinct_nodes=True), "10 nodes"),
+        (spec(6, distinct_racks=True), "5 racks"),
+        (spec(11, sort="apart"), "at most 1 in one node"),
+    ],
+)
+def test_a_group_that_can_never_fit_is_told_at_once(group: GroupSpec, says: str) -> None:
+    w = World()
+    (refused,) = w.ask(group)
+    assert isinstance(refused, gr.Refused) and refused.never and says in refused.why
+    assert never(group, replace(ROOM, nodes=0), SETTINGS) is None  # an unknown fleet rules nothing out
+
+
+def test_the_scarcest_member_goes_first() -> None:
+    members = (task(1), task(2, "apart"), task(3, "pinned"), task(4, cores=8.0))
+    w = World()
+    w.ask(GroupSpec("o", members, 4))
+    assert [a.member for a in w.all(gr.Try)] == [2, 1, 3, 0]
+    assert scarcity(members[2], SETTINGS) < scarcity(members[1], SETTINGS)
+
+
+def test_no_try_without_believed_room_unless_it_is_old() -> None:
+    w = World(replace(ROOM, free_cores=2.0))
+    w.ask(spec())
+    assert not w.all(gr.Try)
+    w.wait(4 * SECOND)
+    assert not w.all(gr.Try)
+    w.wait(2 * SECOND)
+    assert w.all(gr.Try)
+
+
+def test_gathering_groups_leave_room_to_others() -> None:
+    w = World(replace(ROOM, free_cores=10.0))
+    w.ask(spec(4), number=1)
+    w.ask(spec(4), number=2)
+    assert {a.group for a in w.all(gr.Try)} == {1}
+
+
+def test_back_off_is_drawn_and_shrinks_with_age() -> None:
+    waits: dict[int, list[int]] = {}
+    for seed in range(20):
+        w = World()
+        w.c.rng.seed(seed)
+        w.ask(spec(), wait=60 * SECOND)
+        for n in range(8):
+            w.over(0, 1, 2)
+            waits.setdefault(n, []).append(w.all(gr.Tried)[-1].again_in_us)
+            w.wait(waits[n][-1] + 1)
+    assert len(set(waits[3])) > 10  # not in step
+    assert max(waits[7]) <= w.c.config.back_off_most_us
+    old = World()
+    old.ask(spec(), wait=10 * SECOND)
+    old.now += 8 * SECOND
+    old.over(0, 1, 2)
+    assert old.all(gr.Tried)[0].again_in_us < 500 * MS
+
+
+def test_leaving_refuses_what_does_not_run() -> None:
+    w = World()
+    w.ask(spec())
+    w.ready(0)
+    out = w.take(w.c.leave(w.now))
+    assert isinstance(out[0], gr.Refused) and out[1] == gr.Release(1, (0, 1, 2))
+    w.over(0, 1, 2)
+    assert not w.c.groups
+
+
+class Walk(RuleBasedStateMachine):
+    """Coordinator and nodes that answer, refuse, lose and forget as they please, in any order."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.c = Coordinator(SETTINGS, GroupConfig(), 1)
+        self.now = SECOND
+        self.number = 0
+        self.at_node: dict[tuple[int, int], str] = {}  # group, member: held, ready, let run, running
+        self.outcomes: dict[int, list[str]] = {}
+        self.released: set[tuple[int, int]] = set()
+        self.deadline: dict[int, int] = {}
+
+    def take(self, actions: list[gr.Action]) -> None:
+        for a in actions:
+            match a:
+                case gr.Try(g, m, _):
+                    assert (g, m) not in self.at_node, "two attempts of a member outstanding"
+                    assert not self.outcomes[g], "a member is tried after the outcome"
+                    self.at_node[g, m] = "held"
+                case gr.LetRun(g, ms, _):
+                    ready = {m for (h, m), s in self.at_node.items() if h == g and s == "ready"}
+                    assert set(ms) == ready and len(ms) >= self.c.groups[g].spec.least
+                    for m in ms:
+                        assert (g, m) not in self.released, "let run after its release"
+                        self.at_node[g, m] = "let run"
+                case gr.Release(g, ms):
+                    for m in ms:
+                        assert (g, m) in self.at_node
+                        self.released.add((g, m))
+                case gr.Placed(g, ms, _, _):
+                    self.outcomes[g].append("placed")
+                    assert all(self.at_node.get((g, m)) in ("running", None) for m in ms)
+                case gr.Refused(g):
+                    self.outcomes[g].append("refused")
+                    assert not [k for k in self.at_node if k[0] == g], "refused while attempts are out"
+                case gr.Failed(g):
+                    self.outcomes[g].append("failed")
+                    assert not [k for k in self.at_node if k[0] == g], "failed while attempts are out"
+
+    def some(self, data: Any, *states: str) -> tuple[int, int]:
+        return data.draw(st.sampled_from(sorted(k for k, s in self.at_node.items() if s in states)))
+
+    def has(self, *states: str) -> bool:
+        return any(s in states for s in self.at_node.values())
+
+    @rule(count=st.integers(1, 4), left=st.integers(0, 1), once=st.booleans(), wait=st.integers(1, 8))
+    def asks(self, count: int, left: int, once: bool, wait: int) -> None:
+        if len(self.c.groups) >= 3:
+            return
+        self.number += 1
+        self.outcomes[self.number] = []
+        group = spec(count, max(1, count - left), "report" if once else "worker")
+        self.deadline[self.number] = self.now + wait * SECOND
+        self.take(self.c.asked(self.now, self.number, group, self.deadline[self.number], ROOM))
+
+    @precondition(lambda self: self.has("held"))
+    @rule(data=st.data())
+    def is_ready(self, data: Any) -> None:
+        g, m = self.some(data, "held")
+        if (g, m) not in self.released:
+            self.at_node[g, m] = "ready"
+        self.take(self.c.ready(self.now, g, m, m + 1, "r"))
+
+    @precondition(lambda self: self.has("let run"))
+    @rule(data=st.data())
+    def runs(self, data: Any) -> None:
+        g, m = self.some(data, "let run")
+        self.at_node[g, m] = "running"
+        self.take(self.c.running(self.now, g, m))
+
+    @precondition(lambda self: self.at_node)
+    @rule(data=st.data(), finished=st.booleans())
+    def is_over(self, data: Any, finished: bool) -> None:
+        g, m = self.some(data, "held", "ready", "let run", "running")
+        state = self.at_node.pop((g, m))
+        self.released.discard((g, m))
+        self.take(self.c.over(self.now, g, m, finished and state == "running", "gone"))
+
+    @precondition(lambda self: self.c.groups)
+    @rule(data=st.data())
+    def withdraws(self, data: Any) -> None:
+        g = data.draw(st.sampled_from(sorted(self.c.groups)))
+        self.outcomes[g].append("withdrawn") if not self.outcomes[g] else None
+        self.take(self.c.withdrawn(self.now, g))
+
+    @rule(ms=st.sampled_from([1, 50, 400, 1500, 4000]))
+    def time_passes(self, ms: int) -> None:
+        self.now += ms * MS
+        self.take(self.c.advance(self.now, ROOM))
+
+    @invariant()
+    def one_outcome(self) -> None:
+        for g, told in self.outcomes.items():
+            assert len(told) <= 1, f"group {g}: {told}"
+
+    @invariant()
+    def nothing_partly_running_for_long(self) -> None:
+        for g, group in self.c.groups.items():
+            if group.stand is Stand.COMMITTED:
+                assert (
+                    self.now <= group.until + GroupConfig().keep_every_us
+                    or not self.c._due
+                    or (
+                        self.c.next_due() is not None and self.c.next_due() <= self.now  # type: ignore[operator]
+                    )
+                ), g
+
+    @invariant()
+    def nobody_waits_for_nothing(self) -> None:
+        """A group that is not over has a timer, or members whose word is awaited."""
+        for g, group in self.c.groups.items():
+            timers = any(n == g and gen == group.generation for _, n, gen in self.c._due)
+            waits = any(m in (Member.ASKED, Member.READY, Member.RUNNING) for m in group.members)
+            assert timers or (waits and group.stand in (Stand.RELEASING, Stand.WHOLE)), (g, group)
+
+    def teardown(self) -> None:
+        """Once all words have come and time has passed, nothing is left and every group was answered."""
+        for _ in range(60):
+            for g, m in sorted(self.at_node):
+                self.at_node.pop((g, m))
+                self.released.discard((g, m))
+                self.take(self.c.over(self.now, g, m, False, "gone"))
+            self.now += SECOND
+            self.take(self.c.advance(self.now, ROOM))
+            if not self.c.groups:
+                break
+        assert not self.c.groups and not self.at_node
+        assert all(len(told) == 1 for told in self.outcomes.values()), self.outcomes
+
+
+Walk.TestCase.settings = settings(
+    max_examples=60, stateful_step_count=40, derandomize=True, deadline=None, database=None,
+    suppress_health_check=list(HealthCheck),
+)  # fmt: skip
+TestWalk = Walk.TestCase
