--- a/stairplank/planner/core.py
+++ b/stairplank/planner/core.py
@@ -1159,16 +1159,18 @@
     def _group_event(self, what: str, number: int, member: int, of: Any) -> None:
         groups = self.groups
         if what == "over":
+            placing: Placing = of
             record = self.group_records.get(number)
-            if record is None or of is None or record.placings.get(member) is not of:
+            if record is None or record.placings.get(member) is not placing:
                 return  # of a try that is long over
-            why = of.ended or "no place was found"
-            out = groups.over(self.now, number, member, of.ended == "finished", why)
+            why = placing.ended or "no place was found"
+            out = groups.over(self.now, number, member, placing.ended == "finished", why)
         elif what == "ready":
             out = groups.ready(self.now, number, member, of.node, self._rack(of.node))
         else:
             out = groups.running(self.now, number, member)
         self._carry_groups(out)
+        self._drop_if_over(number)
 
     def _carry_groups(self, actions: list[gr.Action]) -> None:
         for action in actions:
@@ -1206,23 +1208,19 @@
                 bound = [(m, record.placings[m].bound) for m in members]
                 bindings = tuple((m, a.node) for m, a in bound if a is not None)
                 self._tell_group(record, ev.GroupPlaced(record.ask, bindings, met, tries))
-            case gr.Refused(number, why, never, after):
+            case gr.Refused(_, why, never, after):
                 self._count("groups_refused")
                 self._tell_group(record, ev.GroupRefused(record.ask, after, why, never))
-                self._drop_group(number, record)
-            case gr.Failed(number, why):
+            case gr.Failed(_, why):
                 self._count("groups_failed")
                 self._tell_group(record, ev.GroupFailed(record.ask, why))
-                self._drop_group(number, record)
             case gr.Tried(_, tries, why, again):
                 self._count("groups_tried_again")
                 self._tell_group(record, ev.GroupTried(record.ask, tries, why, again))
-            case gr.Ended(number, finished):
+            case gr.Ended(_, finished):
                 self._count("groups_finished" if finished else "groups_lost")
                 self._tell_group(record, ev.GroupEnded(record.ask, finished))
-                self._drop_group(number, record)
-        if action.group not in self.groups.groups:
-            self._drop_group(action.group, record)
+        self._drop_if_over(action.group)
 
     def _ids(self, record: GroupRecord, members: tuple[int, ...]) -> list[tuple[int, tuple[AttemptId, ...]]]:
         """The bound attempts of members, by node, over links that are up."""
@@ -1240,8 +1238,12 @@
         if record.session in self.sessions:
             self._out.append(ev.Tell(record.session, word))
 
-    def _drop_group(self, number: int, record: GroupRecord) -> None:
-        if self.group_records.pop(number, None) is not None and record.session in self.sessions:
+    def _drop_if_over(self, number: int) -> None:
+        record = self.group_records.get(number)
+        if record is None or number in self.groups.groups:
+            return
+        del self.group_records[number]
+        if record.session in self.sessions:
             self.sessions[record.session].groups.pop(record.ask, None)
 
     def _member_unplaced(self, placing: Placing) -> None:
--- a/stairplank/standin/script.py
+++ b/stairplank/standin/script.py
@@ -3,7 +3,7 @@
 | line | what it does |
 | --- | --- |
 | ``at 10s nodes 20% fail-starts 60% for 12s`` | to a share or number of the nodes, drawn under the seed |
-| ``at 12s nodes other 1 drain`` | to one that no earlier line drew |
+| ``at 12s nodes other 1 drain`` | to one that no earlier line drained, killed or took away |
 | ``at 12s node 3 4 drain`` | to these, by id |
 | ``at 14s list behind 4s for 10s`` | to the node list |
 | ``at 20s planner 1 kill for 3s`` | to a planner, which is started again after that time |
@@ -56,7 +56,7 @@
     which: tuple[int, ...] = ()
     count: int = 0
     share: float = 0.0
-    avoid: bool = False  # drawn among those that no earlier line drew
+    avoid: bool = False  # drawn among those that no earlier line drained, killed or took away
     name: str = ""  # of a zone
 
     def line(self) -> str:
