--- a/stairplank/cli/main.py
+++ b/stairplank/cli/main.py
@@ -147,7 +147,7 @@
     click.echo(f"{file}: good")
 
 
-SHIPPED = ("first-bad-day",)
+SHIPPED = ("first-bad-day", "groups-bad-day")
 
 
 def _shipped(name: str) -> str:
@@ -236,14 +236,14 @@
     from ..rehearsal.run import judge as judge_file
 
     try:
-        checker, problems, _ = judge_file(Path(capture))
+        checker, problems, script = judge_file(Path(capture))
     except (OSError, CaptureError) as error:
         click.echo(f"error: {error}", err=True)
         sys.exit(2)
     click.echo(reports.verdict(checker, problems))
     click.echo(reports.counts_text(checker))
     for breach in checker.breaches:
-        click.echo("\n" + reports.breach_text(breach, checker.facts.get("begin_us", checker.first_at)))
+        click.echo("\n" + reports.breach_text(breach, reports.begin_of(script, checker.first_at)))
     for problem in problems:
         click.echo(problem)
     sys.exit(1 if checker.breaches or problems else 0)
@@ -298,3 +298,25 @@
         "life_us": int(life * 1e6),
     }
     sys.exit(submit(address, owner, task, count, wait, follow, dial))
+
+
+EXPERIMENTS = ("groups",)
+
+
+@main.command()
+@click.argument("file", default="groups")
+@click.option("--out", type=click.Path(file_okay=False), default="experiment", show_default=True)
+@click.option("--processes", type=click.IntRange(1, 256), default=os.cpu_count() or 1, show_default=True)
+def experiment(file: str, out: str, processes: int) -> None:
+    """Run a grid of simulated rooms by FILE (or a shipped one by name); write table and charts to --out."""
+    from importlib import resources
+    from pathlib import Path
+
+    from ..emulator import experiment as grid
+
+    path = str(resources.files("stairplank") / "experiments" / file) if file in EXPERIMENTS else file
+    rows = grid.run(path, processes, lambda done, of: click.echo(f"\r{done} of {of}", err=True, nl=False))
+    click.echo("", err=True)
+    grid.write(rows, path, Path(out))
+    click.echo(grid.table(rows), nl=False)
+    click.echo(f"results in {out}", err=True)
--- /dev/null
+++ b/stairplank/emulator/world.py
@@ -0,0 +1,414 @@
+"""A room in simulated time. Every decision is the cores' own; here are only delays and a queue of events."""
+
+from __future__ import annotations
+
+import heapq
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from .. import interface as api
+from ..groups.coordinator import GroupConfig
+from ..planner import events as ev
+from ..planner.admission import Bounds
+from ..planner.core import Core, CoreConfig
+from ..settings.room import Room
+from ..standin.directory import Directory, DirectoryModel
+from ..standin.node import Copies, Fell, Node, NodeModel, Probed, Said, SaidDraining, Word
+from ..standin.owner import Ask, AskGroup, Do, Owner, OwnerModel
+from .meter import Meter
+
+CLOCK_UNIX_US = 1_700_000_000_000_000  # of the simulated list's clock, when simulated time is 0
+DIRECTORY_STEP_US = 100_000
+
+
+@dataclass(frozen=True)
+class WorldConfig:
+    """Times in microseconds; delays are one way."""
+
+    room: Room
+    nodes: tuple[NodeModel, ...]
+    owners: tuple[OwnerModel, ...]
+    planners: int
+    seed: int = 1
+    directory: DirectoryModel = DirectoryModel()
+    link_us: tuple[int, int] = (150, 400)
+    groups: GroupConfig = GroupConfig()
+    singles: bool = False  # baseline: members of groups are asked for on their own
+
+
+class SingleOwner(Owner):
+    """Asks for each member of a group by itself."""
+
+    def __init__(self, model: OwnerModel, seed: int, start: int) -> None:
+        super().__init__(model, seed, start)
+        self.batches: list[list[int]] = []
+
+    def _want_group(self, index: int, service: int, size: tuple[float, float], count: int, now: int) -> None:
+        demand = self.model.demands[index]
+        tasks = [
+            self._wanted(index, service, size, self.rng.randint(*demand.life_us), now) for _ in range(count)
+        ]
+        self.batches.append([t.key for t in tasks])
+        for task in tasks:
+            self._ask(task, now)
+
+
+class World:
+    """Planners, nodes, list and owners; ``run`` plays them up to a time."""
+
+    def __init__(self, config: WorldConfig) -> None:
+        self.config = config
+        self.rng = random.Random(config.seed)
+        self.now = 1_000_000
+        self.meter = Meter()
+        self.events = 0
+        self._queue: list[tuple[int, int, Callable[..., None], tuple[Any, ...]]] = []
+        self._order = 0
+        self._wakes: dict[object, int] = {}
+        self._task_of: dict[ev.AttemptId, ev.TaskSpec] = {}
+        self._probes: dict[int, tuple[int, Core, int]] = {}
+        self.models = {m.id: m for m in config.nodes}
+        room = config.room
+        self.copies: dict[str, Copies] = {}
+        self.nodes: dict[int, Node | None] = {}
+        self.started: dict[int, int] = {}
+        for model in config.nodes:
+            self._start_node(model, cold=False)
+        self.directory = Directory(config.directory, revision=1)
+        for node in self.nodes:
+            self._announce(node)
+        self.directory.advance(self.now + config.directory.notice_us + config.directory.period_us)
+        self.cores: dict[int, Core] = {}
+        self.watching: dict[int, int] = {}
+        self.lives = 0
+        self.owners: list[Owner] = []
+        for i, demand in enumerate(config.owners):
+            kind = SingleOwner if config.singles else Owner
+            self.owners.append(kind(demand, config.seed * 7919 + i, self.now + 500_000))
+        for planner in range(config.planners):
+            self.start_planner(planner)
+        self._after(DIRECTORY_STEP_US, self._directory_step)
+        self.tenants = tuple(t for t, _ in room.tenants)
+        for i in range(len(self.owners)):
+            self._wake_owner(i)
+
+    # The queue
+
+    def _after(self, delay: int, call: Callable[..., None], *args: Any) -> None:
+        self._order += 1
+        heapq.heappush(self._queue, (self.now + max(0, delay), self._order, call, args))
+
+    def _delay(self) -> int:
+        return self.rng.randint(*self.config.link_us)
+
+    def run(self, until: int) -> None:
+        """Play up to a simulated time (microseconds)."""
+        while self._queue and self._queue[0][0] <= until:
+            self.step()
+        self.now = max(self.now, until)
+
+    def step(self) -> None:
+        """Play the next event."""
+        at, _, call, args = heapq.heappop(self._queue)
+        self.now = max(self.now, at)
+        self.events += 1
+        call(*args)
+
+    def _wake(self, who: object, at: int | None, call: Callable[..., None], *args: Any) -> None:
+        """One pending wake-up a thing: an earlier one takes the place of a later one."""
+        if at is None:
+            return
+        pending = self._wakes.get(who)
+        if pending is not None and self.now < pending <= at:
+            return
+        self._wakes[who] = at
+        self._after(at - self.now, self._woken, who, at, call, args)
+
+    def _woken(self, who: object, at: int, call: Callable[..., None], args: tuple[Any, ...]) -> None:
+        if self._wakes.get(who) == at:
+            del self._wakes[who]
+            call(*args)
+
+    # Planners
+
+    def start_planner(self, planner: int) -> None:
+        room = self.config.room
+        self.lives += 1
+        config = CoreConfig(
+            bounds=Bounds(100_000, 100_000, 1_000_000, 3_600_000_000),
+            tenants=tuple(t for t, _ in room.tenants),
+            zones=room.zones,
+            groups=self.config.groups,
+        )
+        settings = room.settings(self.config.planners, planner, planner % len(room.zones))
+        core = Core(settings, config, self.lives, self.config.seed * 1_000_003 + self.lives)
+        self.cores[planner] = core
+        self._carry_out(planner, core, core.start(self.now))
+        for i in range(len(self.owners)):
+            self._after(self._delay(), self._owner_came, planner, core, i)
+
+    def _owner_came(self, planner: int, core: Core, i: int) -> None:
+        if self.cores.get(planner) is core:
+            self._feed(planner, core, ev.OwnerCame(i + 1, self.owners[i].model.name))
+            self._do(i, self.owners[i].connected(self.now, planner))
+
+    def kill_planner(self, planner: int, away_us: int) -> None:
+        """It is gone at once; its links break; a new life begins later."""
+        self.cores.pop(planner, None)
+        self.watching.pop(planner, None)
+        for i, owner in enumerate(self.owners):
+            self._do(i, owner.cut(self.now, planner))
+        self._after(away_us, self.start_planner, planner)
+
+    def _feed(self, planner: int, core: Core, event: ev.Event) -> None:
+        if self.cores.get(planner) is not core:
+            return  # said to a life that is over
+        self._carry_out(planner, core, core.handle(self.now, event))
+
+    def _later(self, planner: int, core: Core, event: ev.Event, times: int = 1) -> None:
+        self._after(self._delay() * times, self._feed, planner, core, event)
+
+    def _carry_out(self, planner: int, core: Core, actions: list[ev.Action]) -> None:
+        for action in actions:
+            match action:
+                case ev.Tell(session, word):
+                    self._after(self._delay(), self._told, session - 1, planner, word)
+                case ev.SendOffer():
+                    self._after(self._delay(), self._offer, planner, action)
+                case ev.SendStop(node, id):
+                    self._after(
+                        self._delay(), self._at_node, node, planner, lambda n, i=id: n.stop(self.now, i)
+                    )
+                case ev.SendCommit(node, ids, lease):
+                    self._after(
+                        self._delay(), self._at_node, node, planner,
+                        lambda n, i=ids, t=lease: n.commit(self.now, list(i), t),
+                    )  # fmt: skip
+                case ev.SendKeep(node, ids, lease):
+                    self._after(
+                        self._delay(), self._at_node, node, planner,
+                        lambda n, i=ids, t=lease: n.keep(self.now, list(i), t),
+                    )  # fmt: skip
+                case ev.Dial(node):
+                    self._after(self._delay() * 2, self._dialled, planner, core, node)
+                case ev.AskHeld(node):
+                    self._after(self._delay(), self._held, planner, core, node)
+                case ev.ProbeNode(node):
+                    self._after(self._delay(), self._probe, planner, core, node)
+                case ev.StartWatch(active, revision):
+                    if active:
+                        self._after(self._delay(), self._watch, planner, core, revision)
+                    else:
+                        self.watching.pop(planner, None)
+                case ev.FetchWhole():
+                    self._after(self._delay(), self._watch, planner, core, 0)
+                case _:
+                    pass
+        self._wake(core, core.next_due(), self._feed, planner, core, ev.Due())
+
+    # Nodes
+
+    def _start_node(self, model: NodeModel, cold: bool) -> None:
+        copies = self.copies.setdefault(model.rack, Copies())
+        self.nodes[model.id] = Node(model, copies, self.rng.randrange(2**62), self.now, cold)
+        self.started[model.id] = CLOCK_UNIX_US + self.now if cold else 0
+
+    def kill_node(self, node: int, away_us: int) -> None:
+        """Its process dies with all it holds and comes back cold."""
+        dead = self.nodes.get(node)
+        if dead is None:
+            return
+        for offer in dead.held.values():
+            self.meter.over((offer.task.owner, offer.task.key), False, self.now)
+            dead.copies.standing.pop((offer.task.owner, offer.task.key), None)
+        self.nodes[node] = None
+        self.directory.fell_silent(self.now, node)
+        for planner, core in list(self.cores.items()):
+            self._later(planner, core, ev.LinkDown(node))
+        self._after(away_us, self._revive, node)
+
+    def _revive(self, node: int) -> None:
+        self._start_node(self.models[node], cold=True)
+        self._announce(node)
+
+    def drain_node(self, node: int) -> None:
+        here = self.nodes.get(node)
+        if here is not None:
+            self._say(node, here.drain(self.now))
+
+    def _dialled(self, planner: int, core: Core, node: int) -> None:
+        here = self.nodes.get(node)
+        if here is None or here.down:
+            self._feed(planner, core, ev.DialFailed(node))
+        else:
+            self._feed(planner, core, ev.LinkUp(node, self.started[node], here.draining))
+
+    def _at_node(self, node: int, planner: int, call: Callable[[Node], list[Word]]) -> None:
+        here = self.nodes.get(node)
+        if here is not None:
+            self._say(node, call(here))
+
+    def _offer(self, planner: int, offer: ev.SendOffer) -> None:
+        here = self.nodes.get(offer.node)
+        if here is None:
+            return  # the planner hears of the broken link
+        sort = self.config.room.classes[offer.class_index]
+        words = here.offer(
+            self.now, planner, offer.id, offer.task, offer.wait_us, sort.priority, sort.window_us, offer.group
+        )
+        self._say(offer.node, words)
+
+    def _say(self, node: int, words: list[Word]) -> None:
+        here = self.nodes[node]
+        for word in words:
+            match word:
+                case Said():
+                    self._said(node, word)
+                case SaidDraining():
+                    self._announce(node)
+                    for planner, core in list(self.cores.items()):
+                        self._later(planner, core, ev.NodeDraining(node))
+                case Probed(token):
+                    planner, core, began = self._probes.pop(token)
+                    report = (word.free_cores, word.free_memory, word.util)
+                    told = ev.ProbeTold(node, True, self.now - began, report)
+                    self._later(planner, core, told)
+                case Fell():
+                    self.kill_node(node, 10**12)
+                    return
+        if here is not None:
+            self._wake((node, id(here)), here.next_due(), self._node_due, node, here)
+
+    def _node_due(self, node: int, here: Node) -> None:
+        if self.nodes.get(node) is here:
+            self._say(node, here.advance(self.now))
+
+    def _said(self, node: int, word: Said) -> None:
+        task = self._task_of.get(word.id)
+        name = (task.owner, task.key) if task is not None else ("", 0)
+        if word.what == "accepted":
+            here = self.nodes[node]
+            assert here is not None
+            task = here.held[word.id].task
+            self._task_of[word.id] = task
+            self.meter.accepted((task.owner, task.key), task.cores, self.now)
+        elif word.what == "running":
+            self.meter.runs(name, self.now)
+        elif word.what in ("refused", "error", "ended"):
+            self.meter.over(name, word.result is api.Result.FINISHED, self.now)
+            self._task_of.pop(word.id, None)
+        core = self.cores.get(word.planner)
+        if core is not None:
+            self._later(word.planner, core, _event(node, word))
+
+    def _held(self, planner: int, core: Core, node: int) -> None:
+        here = self.nodes.get(node)
+        if here is None:
+            self._later(planner, core, ev.HeldFailed(node))
+            return
+        tasks = tuple(
+            ev.HeldTask(o.id, o.task, o.stage.value == "running", o.group) for o in here.holds(planner)
+        )
+        self._later(planner, core, ev.HeldTold(node, self.started[node], tasks))
+
+    def _probe(self, planner: int, core: Core, node: int) -> None:
+        here = self.nodes.get(node)
+        if here is None or here.down:
+            self._later(planner, core, ev.ProbeTold(node, False, 0))
+            return
+        self._order += 1
+        self._probes[self._order] = (planner, core, self.now)
+        self._say(node, here.probe(self.now, self._order))
+
+    # The list
+
+    def _announce(self, node: int) -> None:
+        here, model = self.nodes[node], self.models[node]
+        if here is None:
+            return
+        here.changed = False
+        free = here.free()
+        status = api.NodeStatus.DRAINING if here.draining else api.NodeStatus.READY
+        entry = ev.ListedNode(
+            node, model.name, (f"127.0.0.1:{node}",), model.zone, model.rack, model.kind, status, free[0],
+            free[1], self.started[node],
+        )  # fmt: skip
+        self.directory.announced(self.now, entry)
+
+    def _directory_step(self) -> None:
+        for node, here in self.nodes.items():
+            if here is not None and here.changed:
+                self._announce(node)
+        if self.directory.advance(self.now):
+            for planner, have in list(self.watching.items()):
+                core = self.cores.get(planner)
+                if core is not None:
+                    self._list_told(planner, core, have)
+        self._after(DIRECTORY_STEP_US, self._directory_step)
+
+    def _watch(self, planner: int, core: Core, revision: int) -> None:
+        if self.cores.get(planner) is core:
+            self._list_told(planner, core, revision)
+
+    def _list_told(self, planner: int, core: Core, have: int) -> None:
+        changes = self.directory.changes_since(have) if have else None
+        full = changes is None
+        nodes = self.directory.whole() if changes is None else changes
+        told = ev.ListTold(self.directory.revision, have, full, nodes, CLOCK_UNIX_US + self.now)
+        self.watching[planner] = self.directory.revision
+        self._later(planner, core, told)
+
+    # Owners
+
+    def _told(self, i: int, planner: int, word: ev.OwnerWord) -> None:
+        if 0 <= i < len(self.owners):
+            self._do(i, self.owners[i].heard(self.now, planner, word))
+
+    def _wake_owner(self, i: int) -> None:
+        owner = self.owners[i]
+        self._wake(owner, owner.next_due(), self._owner_due, i)
+
+    def _owner_due(self, i: int) -> None:
+        self._do(i, self.owners[i].advance(self.now))
+
+    def _do(self, i: int, does: list[Do]) -> None:
+        owner = self.owners[i]
+        name = owner.model.name
+        if isinstance(owner, SingleOwner):
+            for keys in owner.batches:
+                self.meter.asked([(name, k) for k in keys], self.now)
+            owner.batches.clear()
+        for do in does:
+            core = self.cores.get(do.planner)
+            if core is None:
+                continue
+            if isinstance(do, Ask):
+                self._later(do.planner, core, ev.Asked(i + 1, do.ask, do.task, do.wait_us))
+            elif isinstance(do, AskGroup):
+                names = [(name, t.key) for t in do.tasks]
+                origin = (name, do.origin)
+                self.meter.asked(names, self.now, origin if origin in self.meter.group_of else None)
+                self._later(do.planner, core, ev.AskedGroup(i + 1, do.ask, do.tasks, do.wait_us))
+            else:
+                self._later(do.planner, core, ev.Withdrawn(i + 1, do.ask, do.key))
+        self._wake_owner(i)
+
+
+def _event(node: int, word: Said) -> ev.Event:
+    match word.what:
+        case "accepted":
+            return ev.NodeAccepted(node, word.id)
+        case "ready":
+            return ev.NodeReady(node, word.id)
+        case "running":
+            return ev.NodeRunning(node, word.id)
+        case "refused":
+            return ev.NodeRefused(node, word.id, word.reason)
+        case "error":
+            return ev.NodeError(node, word.id)
+        case "usage":
+            return ev.NodeUsage(node, word.id, word.cores, word.memory, 0.0, 0.0)
+    assert word.result is not None
+    return ev.NodeEnded(node, word.id, word.result, word.reason)
--- a/stairplank/planner/core.py
+++ b/stairplank/planner/core.py
@@ -11,7 +11,7 @@
 import random
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import IntEnum
 from typing import Any, NamedTuple
 
@@ -150,6 +150,7 @@
     session: int
     ask: int
     spec: GroupSpec
+    deadline: int = 0
     placings: dict[int, Placing] = field(default_factory=dict)
     placed: bool = False
 
@@ -1103,11 +1104,11 @@
             return
         self._number += 1
         number = self._number
-        self.group_records[number] = GroupRecord(event.session, event.ask, spec)
+        deadline = self.now + event.wait_us
+        self.group_records[number] = GroupRecord(event.session, event.ask, spec, deadline)
         session.groups[event.ask] = number
         self._count("groups_taken")
         self._out.append(ev.Tell(event.session, ev.Taken(event.ask, number)))
-        deadline = self.now + event.wait_us
         self._carry_groups(self.groups.asked(self.now, number, spec, deadline, self._room()))
 
     def _group_rejection(
@@ -1192,7 +1193,11 @@
                 record.placings[member] = placing
                 self.placings[placing.number] = self.by_name[placing.name] = placing
                 self._count("members_tried")
-                self._feed(api.TaskAsked(self._task(placing)))
+                # The module is told the group's deadline, not the try's: else it would take every member for
+                # one that comes too late and keep a reserve from it. Whether a group is tried again is the
+                # coordinator's matter, so that a member does not count as one that came back either.
+                task = replace(self._task(placing), expires_us=record.deadline, again=False)
+                self._feed(api.TaskAsked(task))
             case gr.LetRun(_, members, lease):
                 for node, ids in self._ids(record, members):
                     self._out.append(ev.SendCommit(node, ids, lease))
--- a/stairplank/standin/crowd.py
+++ b/stairplank/standin/crowd.py
@@ -15,8 +15,8 @@
 from ..planner.daemon import PLACEMENT, now_us
 from ..proto import caller, placement_pb2
 from ..rpc import Channel, Code, Limits, RpcError
-from .config import CrowdConfig
-from .owner import Ask, Do, Owner, OwnerModel, Withdraw
+from .config import CrowdConfig, begun
+from .owner import Ask, AskGroup, Do, Owner, OwnerModel, Withdraw
 from .script import Fault
 
 RETRY_S = 0.2
@@ -45,6 +45,17 @@
         case "ended":
             e = event.ended
             return ev.EndedTask(e.ask, e.key, e.finished, convert.reason_from(e.reason))
+        case "group_placed":
+            g = event.group_placed
+            bindings = tuple((b.member, b.node) for b in g.bindings)
+            return ev.GroupPlaced(g.ask, bindings, g.wishes_met, g.tries)
+        case "group_refused":
+            r = event.group_refused
+            return ev.GroupRefused(r.ask, r.retry_after_us, r.why, r.never)
+        case "group_failed":
+            return ev.GroupFailed(event.group_failed.ask, event.group_failed.why)
+        case "group_ended":
+            return ev.GroupEnded(event.group_ended.ask, event.group_ended.finished)
         case "found":
             return ev.Found(event.found.ask, event.found.key, event.found.node)
     return None
@@ -53,6 +64,9 @@
 def request_of(do: Do) -> Any:
     if isinstance(do, Ask):
         return _REQUEST(ask=_REQUEST.Ask(ask=do.ask, task=convert.task_to(do.task), wait_us=do.wait_us))
+    if isinstance(do, AskGroup):
+        members = map(convert.task_to, do.tasks)
+        return _REQUEST(ask_group=_REQUEST.AskGroup(ask=do.ask, members=members, wait_us=do.wait_us))
     assert isinstance(do, Withdraw)
     return _REQUEST(withdraw=_REQUEST.Withdraw(ask=do.ask, key=do.key))
 
@@ -126,7 +140,7 @@
     def __init__(self, config: CrowdConfig) -> None:
         self.config = config
         self.log = structlog.get_logger("owners")
-        self.begin = config.begin_us if config.begin_us is not None else now_us()
+        self.begin = begun(config.begin)
         self.customers = [
             Customer(self, model, config.seed * 104_729 + i, self.begin)
             for i, model in enumerate(config.owners)
--- a/stairplank/standin/farm.py
+++ b/stairplank/standin/farm.py
@@ -15,7 +15,7 @@
 from ..planner.daemon import DIRECTORY, NODE, now_us
 from ..proto import caller, common_pb2, directory_pb2, methods, node_pb2
 from ..rpc import Channel, Code, RpcError, Server, ServerCall
-from .config import FarmConfig, NodeConfig
+from .config import FarmConfig, NodeConfig, begun
 from .node import Copies, Fell, Node, Probed, Said, SaidDraining, Word
 from .script import Fault
 
@@ -308,7 +308,7 @@
                 gevent.spawn(self.script, fault)
 
     def script(self, fault: Fault) -> None:
-        begin = self.config.begin_us if self.config.begin_us is not None else now_us()
+        begin = begun(self.config.begin)
         gevent.sleep(max(0.0, (begin + fault.at_us - now_us()) / 1e6))
         nodes = [self.nodes[i] for i in fault.which if i in self.nodes]
         self.log.info("fault", what=fault.what, nodes=[n.id for n in nodes], values=list(fault.values))
--- a/stairplank/standin/listing.py
+++ b/stairplank/standin/listing.py
@@ -15,7 +15,7 @@
 from ..planner.events import ListedNode
 from ..proto import directory_pb2, methods
 from ..rpc import Code, RpcError, Server, ServerCall
-from .config import ListingConfig
+from .config import ListingConfig, begun
 from .directory import Directory
 from .script import Fault
 
@@ -70,7 +70,7 @@
                 self.news = Flag()
 
     def script(self, fault: Fault) -> None:
-        begin = self.config.begin_us if self.config.begin_us is not None else now_us()
+        begin = begun(self.config.begin)
         gevent.sleep(max(0.0, (begin + fault.at_us - now_us()) / 1e6))
         self.log.info("fault", what=fault.what, values=list(fault.values))
         self.apply(fault, True)
--- a/stairplank/standin/owner.py
+++ b/stairplank/standin/owner.py
@@ -10,12 +10,14 @@
 import heapq
 import random
 from collections import Counter
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import Enum
 
 from .. import interface as api
 from ..planner import events as ev
 
+GROUP_GONE_US = 9_000_000  # without its planner a group has ended by then
+
 
 @dataclass(frozen=True)
 class Demand:
@@ -28,6 +30,7 @@
     batch: tuple[int, int]
     services: int
     service_most: int  # tasks of a service at a time
+    group: bool = False  # a batch is asked for as a group: all of it or nothing
 
 
 @dataclass(frozen=True)
@@ -77,6 +80,32 @@
     generation: int = 0  # older timers do not count
 
 
+@dataclass(slots=True)
+class WantedGroup:
+    """A group as its owner sees it: its tasks are asked for, run and are lost together."""
+
+    tasks: tuple[ev.TaskSpec, ...]
+    origin: int  # key of its first task when it was first asked for
+    demand: int
+    first_asked: int
+    until: int
+    stand: Stand = Stand.WAITING
+    planner: int = -1
+    ask: int = 0
+    started: int = 0
+    generation: int = 0
+    again: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class AskGroup:
+    planner: int
+    ask: int
+    tasks: tuple[ev.TaskSpec, ...]
+    wait_us: int
+    origin: int  # key of its first task when it was first asked for
+
+
 @dataclass(frozen=True, slots=True)
 class Ask:
     planner: int
@@ -92,7 +121,7 @@
     key: int
 
 
-Do = Ask | Withdraw
+Do = Ask | AskGroup | Withdraw
 
 
 @dataclass
@@ -115,6 +144,8 @@
         self.up: set[int] = set()  # planners that can be asked
         self.tasks: dict[int, Wanted] = {}
         self.asks: dict[tuple[int, int], Wanted] = {}
+        self.groups: dict[int, WantedGroup] = {}  # by the key of the first task
+        self.group_asks: dict[tuple[int, int], WantedGroup] = {}
         self.live: Counter[int] = Counter()  # tasks of a service
         self.tally = Tally()
         self.out: list[Do] = []
@@ -141,6 +172,9 @@
             task = self.tasks.get(key)
             if task is not None and task.generation == generation:
                 self._timer(task, now)
+            group = self.groups.get(key)
+            if group is not None and group.generation == generation:
+                self._group_timer(group, now)
         return self.out
 
     def connected(self, now: int, planner: int) -> list[Do]:
@@ -156,6 +190,12 @@
         """The stream broke, or the planner died: what it owed it will not tell here any more."""
         self.out = []
         self.up.discard(planner)
+        for group in [g for g in self.groups.values() if g.planner == planner]:
+            # Groups end by themselves without their planner: what ran is asked for again after the wait.
+            if group.stand in (Stand.ASKED, Stand.RUNNING):
+                self.group_asks.pop((planner, group.ask), None)
+                self._count_group(group, "cut")
+                self._group_again(group, now + GROUP_GONE_US)
         for task in list(self.tasks.values()):
             if task.planner != planner:
                 continue
@@ -171,6 +211,10 @@
 
     def heard(self, now: int, planner: int, word: ev.OwnerWord) -> list[Do]:
         self.out = []
+        group = self.group_asks.get((planner, word.ask)) if not isinstance(word, ev.Found) else None
+        if group is not None:
+            self._group_word(group, now, word)
+            return self.out
         match word:
             case ev.Taken() | ev.Offered():
                 return self.out
@@ -253,10 +297,113 @@
             self.tally.counts["no_service_free"] += batch
             return
         size = demand.sizes[service % len(demand.sizes)]
+        if demand.group:
+            self._want_group(index, service, size, batch, now)
+            return
         for _ in range(batch):
             task = self._wanted(index, service, size, self.rng.randint(*demand.life_us), now)
             self._ask(task, now)
 
+    # Groups
+
+    def _want_group(self, index: int, service: int, size: tuple[float, float], count: int, now: int) -> None:
+        demand = self.model.demands[index]
+        tasks = []
+        for _ in range(count):
+            self._next_key += 1
+            life = self.rng.randint(*demand.life_us)
+            name = self.model.name, self._next_key, demand.task_class, self.model.tenant
+            tasks.append(ev.TaskSpec(*name, service, size[0], size[1], life, False))
+        group = WantedGroup(tuple(tasks), tasks[0].key, index, now, now + self.model.wanted_us)
+        self.groups[tasks[0].key] = group
+        self.live[service] += count
+        self._count_group(group, "wanted")
+        self._ask_group(group, now)
+
+    def _ask_group(self, group: WantedGroup, now: int) -> None:
+        if now >= group.until:
+            self._group_done(group, "given_up")
+            return
+        if not self.up:
+            self._group_later(group, now + 100_000)
+            return
+        planner = self.rng.choice(sorted(self.up))
+        self._next_ask += 1
+        group.stand, group.planner, group.ask = Stand.ASKED, planner, self._next_ask
+        self.group_asks[planner, group.ask] = group
+        sort = self._by_name[self.model.demands[group.demand].task_class]
+        wait = min(sort.deadline_us, group.until - now)
+        self._count_group(group, "asked")
+        self.out.append(AskGroup(planner, group.ask, group.tasks, wait, group.origin))
+        self._group_later(group, now + wait + 1_000_000)
+
+    def _group_word(self, group: WantedGroup, now: int, word: ev.OwnerWord) -> None:
+        match word:
+            case ev.GroupPlaced():
+                group.stand = Stand.RUNNING
+                group.generation += 1
+                if not group.started:
+                    group.started = now
+                    took = now - group.first_asked
+                    self.tally.latencies.setdefault("groups", []).append(took)
+                    self._count_group(group, "started")
+                    sort = self._by_name[self.model.demands[group.demand].task_class]
+                    if took <= sort.aim_us:
+                        self._count_group(group, "in_time")
+            case ev.GroupRefused(_, after, _, never):
+                self._count_group(group, "refused")
+                if never:
+                    self._group_done(group, "never")
+                else:
+                    self._group_again(group, now + max(after, self.rng.randint(*self.model.again_us)))
+            case ev.GroupFailed():
+                self._count_group(group, "failed")
+                self._group_again(group, now + self.model.owner_wait_us)
+            case ev.GroupEnded(_, finished):
+                if finished:
+                    self._group_done(group, "finished")
+                else:
+                    self._count_group(group, "lost")
+                    self._group_again(group, now + self.rng.randint(*self.model.again_us))
+            case ev.Rejected(_, rejection):
+                self._count_group(group, "rejected")
+                wait = max(rejection.retry_after_us, self.rng.randint(*self.model.again_us))
+                self._group_again(group, now + wait)
+
+    def _group_timer(self, group: WantedGroup, now: int) -> None:
+        if group.stand is Stand.WAITING:
+            self._ask_group(group, now)
+        elif group.stand is Stand.ASKED:
+            self._count_group(group, "unanswered")
+            self._group_again(group, now + self.model.owner_wait_us)
+
+    def _group_again(self, group: WantedGroup, at: int) -> None:
+        self.group_asks.pop((group.planner, group.ask), None)
+        group.stand = Stand.WAITING
+        # Another run of the tasks, under keys of its own: nodes drop repeats of keyed ones that have run.
+        del self.groups[group.tasks[0].key]
+        tasks = []
+        for task in group.tasks:
+            self._next_key += 1
+            tasks.append(replace(task, key=self._next_key, again=True))
+        group.tasks = tuple(tasks)
+        self.groups[tasks[0].key] = group
+        self._group_later(group, at)
+
+    def _group_later(self, group: WantedGroup, at: int) -> None:
+        group.generation += 1
+        heapq.heappush(self._due, (at, group.tasks[0].key, group.generation, 1))
+
+    def _group_done(self, group: WantedGroup, what: str) -> None:
+        self.group_asks.pop((group.planner, group.ask), None)
+        self.groups.pop(group.tasks[0].key, None)
+        self.live[group.tasks[0].service] -= len(group.tasks)
+        self._count_group(group, what)
+
+    def _count_group(self, group: WantedGroup, what: str) -> None:
+        self.tally.counts[f"groups_{what}"] += 1
+        self.tally.by_class.setdefault("groups", Counter())[what] += 1
+
     def _wanted(self, demand: int, service: int, size: tuple[float, float], life_us: int, now: int) -> Wanted:
         self._next_key += 1
         until = now + self.model.wanted_us
--- a/tests/rehearsal/tape.py
+++ b/tests/rehearsal/tape.py
@@ -147,6 +147,15 @@
         if take:
             self.tell("taken", n, placing=n)
 
+    def ask_group(self, n: int, count: int, wait: int = 6 * SECOND) -> None:
+        members = [task(100 * n + i, "worker", 50 + i) for i in range(count)]
+        self.link.there(self.request(ask_group=self.request.AskGroup(ask=n, members=members, wait_us=wait)))
+        self.tell("taken", n, placing=n)
+
+    def tell_group(self, kind: str, n: int, **fields: Any) -> None:
+        name = "".join(part.capitalize() for part in kind.split("_"))
+        self.link.back(self.event(**{kind: getattr(self.event, name)(ask=n, **fields)}))
+
     def tell(self, kind: str, n: int, **fields: Any) -> None:
         part = getattr(self.event, kind[0].upper() + kind[1:])(ask=n, **fields)
         self.link.back(self.event(**{kind: part}))
@@ -193,6 +202,17 @@
         )
         self.link.there(self.request(offer=offer))
 
+    def member(self, group: int, member: int, size: int, placing: int, wait: int = 2 * SECOND) -> None:
+        tag = node_pb2.GroupMember(life=self.life, group=group, size=size, member=member, lease_us=SECOND)
+        offer = self.request.Offer(
+            id=self.id(placing, 0), task=task(100 + member, "worker", 50 + member), wait_us=wait, group=tag
+        )
+        self.link.there(self.request(offer=offer))
+
+    def commit(self, *placings: int) -> None:
+        ids = [self.id(p, 0) for p in placings]
+        self.link.there(self.request(commit=self.request.Commit(ids=ids, lease_us=SECOND)))
+
     def stop(self, placing: int, attempt: int = 0) -> None:
         self.link.there(self.request(stop=self.request.Stop(id=self.id(placing, attempt))))
 
--- a/tests/rehearsal/test_checker.py
+++ b/tests/rehearsal/test_checker.py
@@ -429,6 +429,36 @@
     assert tape.breaches() == [(5, "node")]
 
 
+@pytest.mark.parametrize("held", [True, False])
+def test_spread_over_a_cut_counts_what_the_node_still_holds(tape: Tape, held: bool) -> None:
+    listed(tape)
+    owner, node = Owner(tape), ToNode(tape, 1)
+    owner.ask(1)
+    node.offer(1)
+    node.says("running", 1)
+    owner.tell("placed", 1, node=1, attempt=0)
+    node.link.close()
+    again = ToNode(tape, 1)
+    if held:
+        again.holds(1, life=70, sort="worker", service=5)
+    owner.ask(2)
+    again.offer(2)
+    owner.tell("failed", 2)
+    assert tape.breaches() == [(5, "node")] * held
+
+
+def test_a_task_that_was_found_may_end_after_its_outcome(tape: Tape) -> None:
+    listed(tape)
+    owner, node = Owner(tape), ToNode(tape, 1)
+    owner.ask(1, "report")
+    node.offer(1, 0, "report")
+    owner.tell("failed", 1, may_run=True)
+    node.says("running", 1)
+    owner.tell("found", 1, node=1)
+    owner.tell("ended", 1, finished=True)
+    assert tape.breaches() == []
+
+
 # The record itself
 
 
