--- a/stairplank/planner/core.py
+++ b/stairplank/planner/core.py
@@ -203,6 +203,7 @@
         self.groups = Coordinator(settings, config.groups, seed ^ 0x6709)
         self.group_records: dict[int, GroupRecord] = {}
         self.foundlings: dict[tuple[int, int], Foundling] = {}
+        self._groups_due: int | None = None
         self._group_events: deque[tuple[str, int, int, Any]] = deque()
         self.open_tasks = 0
         self.stopping = False
@@ -276,7 +277,8 @@
                     self._redial(due.what)  # type: ignore[arg-type]
                 case _Kind.LEFTOVER:
                     self._leftover_over(due.what)  # type: ignore[arg-type]
-                case _Kind.GROUPS:
+                case _Kind.GROUPS if due.what == self._groups_due:
+                    self._groups_due = None
                     self._carry_groups(self.groups.advance(self.now, self._room()))
                 case _Kind.FOUNDLING:
                     self._foundling_over(due.what)  # type: ignore[arg-type]
@@ -1179,8 +1181,10 @@
             if record is not None:
                 self._carry_group(action, record)
         due = self.groups.next_due()
-        if due is not None:
-            self._at(due, _Kind.GROUPS, None)
+        if due is not None and (self._groups_due is None or due < self._groups_due):
+            # Danger: a timer for each word of a member would each set the next one, and never become fewer.
+            self._groups_due = due
+            self._at(due, _Kind.GROUPS, due)
 
     def _carry_group(self, action: gr.Action, record: GroupRecord) -> None:
         match action:
--- a/tests/groups/test_core_groups.py
+++ b/tests/groups/test_core_groups.py
@@ -269,3 +269,15 @@
     for o in offers:
         w.feed(ev.NodeRefused(o.node, o.id, api.Reason.NOT_HERE))
     assert w.core.finished and w.quiet()
+
+
+def test_timers_of_groups_do_not_grow() -> None:
+    w = Groups(nodes=4)
+    w.whole()
+    before = len(w.core._due)
+    for _ in range(200):
+        for o in w.offers():
+            w.feed(ev.NodeUsage(o.node, o.id, 0.5, 0.5, 0.0, 0.0))
+        w.wait(100 * MS)
+    assert len(w.core._due) <= before + 3
+    assert len(w.all(ev.SendKeep)) < 200  # once in 0.4 s to each node, not once a word
