The writer of a link is woken only where there is something to write

Cause: at 300 nodes the transport's share of a task's CPU was 479 us against 271 at 76: each message of the many links woke its connection's writer, which found nothing to do.

--- a/stairplank/rpc/connection.py
+++ b/stairplank/rpc/connection.py
@@ -209,11 +209,11 @@
             stream.owed += held
             self._credit_stream(stream)
         self._credit_connection(0)
-        self._wake.set()
 
     def _credit(self, size: int, stream_id: int) -> None:
         try:
             self.h2.increment_flow_control_window(size, stream_id)
+            self._wake.set()
         except (h2.exceptions.ProtocolError, KeyError):
             pass  # the stream has closed meanwhile
 
@@ -223,6 +223,7 @@
         if enough and self._buffered <= self.limits.connection_bytes:
             self.h2.increment_flow_control_window(self._owed)
             self._owed = 0
+            self._wake.set()
 
     def reset(self, stream: Stream, error_code: int, error: RpcError) -> None:
         """Cancel a stream; the peer sees RST_STREAM."""
@@ -253,7 +254,13 @@
                 if data:
                     for event in self.h2.receive_data(data):
                         self._handle(event)
-                self._wake.set()
+                # The writer is woken only where there is something to write: with many links most of what
+                # comes wants no answer, and each needless turn costs as much as reading it.
+                answer = self.h2.data_to_send()
+                if answer:
+                    self._raw.append(answer)
+                if answer or self._ready:
+                    self._wake.set()
         except h2.exceptions.ProtocolError as problem:
             error = RpcError(Code.UNAVAILABLE, f"HTTP/2 broken by the peer: {problem}")
             self._last_words()
@@ -265,7 +272,7 @@
         """Send the GOAWAY that h2 has prepared, without waiting on a peer that does not read."""
         try:
             self.sock.settimeout(0.5)
-            self.sock.sendall(self.h2.data_to_send())
+            self.sock.sendall(self.h2.data_to_send() + b"".join(self._raw))
         except (OSError, h2.exceptions.ProtocolError):
             pass
 
@@ -423,9 +430,8 @@
                 self._wake.clear()
                 while self.dead is None:
                     more = self._fill()
-                    data = self.h2.data_to_send()
-                    while self._raw:
-                        data += self._raw.popleft()
+                    data = b"".join(self._raw) + self.h2.data_to_send()  # what was taken earlier goes first
+                    self._raw.clear()
                     if data:
                         self.sock.sendall(data)
                     if not more:
