Nodes' last words are numbered and kept until heard; an offer never seen is proven so

Last words carry numbers, are kept by the node until acknowledged, and are said again on a new stream or where the planner hears a gap; what a node neither holds nor told as over was never seen there, so a once task may be sent again. The newer stream of a planner ends the older one before it is answered. The checker takes a stop for the end of what it calls off, members that a node tells as held for running, and looks across links with 100 ms of patience. Members are no longer offered in the last moments of a try (seen: offers with a microsecond to wait).

--- a/stairplank/planner/convert.py
+++ b/stairplank/planner/convert.py
@@ -129,7 +129,7 @@
         )
         for t in message.tasks
     )
-    return ev.HeldTold(node, message.started_unix_us, tasks)
+    return ev.HeldTold(node, message.started_unix_us, tasks, message.complete)
 
 
 def offer_to(offer: ev.SendOffer, sort: api.TaskClass) -> Any:
--- a/stairplank/planner/core.py
+++ b/stairplank/planner/core.py
@@ -459,6 +459,13 @@
             raise RuntimeError(f"the module bound task {action.task}, which is over")
         shot = placing.shots
         placing.shots += 1
+        short = placing.expires - (ANSWER_TICKS + 2) * self.settings.tick_us
+        if placing.group is not None and self.now >= short:
+            # The module knows the group's deadline, not the try's end: there is no time for this offer.
+            placing.fate = Fate.FAILED
+            self._feed(api.Outcome(action.task, shot, action.node, api.Result.NOT_SENT, True))
+            self._call_back(placing)
+            return
         attempt = Attempt(AttemptId(self.life, placing.number, shot), placing, shot, action.node, self.now)
         attempt.timeout = placing.expires - ANSWER_TICKS * self.settings.tick_us
         if action.timeout_us:
@@ -929,8 +936,14 @@
         held = {task.id: task for task in event.tasks}
         for id in sorted(unsettled):
             attempt = self.attempts.get(id)
-            if attempt is not None and id not in held:
-                self._over(attempt, api.Result.LOST)  # it ended, or was never seen, while the link was cut
+            if attempt is None or id in held:
+                continue
+            if event.complete and not attempt.accepted and not attempt.running:
+                # Last words are kept until they are heard: neither held nor told as over, it was never seen.
+                self._count("never_seen")
+                self._over(attempt, api.Result.UNREACHABLE)
+            else:
+                self._over(attempt, api.Result.LOST)
         for id, task in held.items():
             attempt = self.attempts.get(id)
             if attempt is None:
--- a/stairplank/planner/daemon.py
+++ b/stairplank/planner/daemon.py
@@ -34,11 +34,14 @@
 from .admission import Bounds
 from .core import Core, CoreConfig
 from .events import AttemptId
+from .links import Heard
 
 PLACEMENT = placement_pb2.DESCRIPTOR.services_by_name["Placement"]
 NODE = node_pb2.DESCRIPTOR.services_by_name["Node"]
 DIRECTORY = directory_pb2.DESCRIPTOR.services_by_name["Directory"]
 HELLO_S = 5.0  # an owner's stream must say whose it is by then
+ACK_EVERY = 32  # last words of a node, or
+ACK_S = 0.25  # so long after the first of them
 WORK_BATCH = 64  # messages of one stream taken before others get a turn
 
 
@@ -58,6 +61,8 @@
         self.call: Any = None
         self.sent: deque[tuple[int, AttemptId | None]] = deque()  # number of the message; the offer's attempt
         self.closing = False
+        self.heard = Heard()
+        self._ack_due = False
         self._probe = 0
         self._probes: dict[int, int] = {}  # under way: number, when asked
         self.greenlet = gevent.spawn(self._run)
@@ -75,6 +80,11 @@
             self._close()
             self.daemon.link_over(self, ev.DialFailed(self.node))
             return
+        known = self.daemon.heard.get(self.node)
+        if known is None or known[0] != welcome.started_unix_us:
+            known = self.daemon.heard[self.node] = (welcome.started_unix_us, Heard())
+        self.heard = known[1]
+        self.heard.opened()
         self.daemon.feed(ev.LinkUp(self.node, welcome.started_unix_us, welcome.draining))
         try:
             self._read()
@@ -95,7 +105,8 @@
         timeout = config.dial_timeout_us / 1e6
         self.channel = Channel(target, limits, timeout)
         self.call = caller(self.channel, NODE, "Offers")
-        hello = node_pb2.OfferRequest.Hello(planner=self.daemon.position, life=self.daemon.life)
+        heard = self.daemon.heard.get(self.node, (0, Heard()))[1].number
+        hello = node_pb2.OfferRequest.Hello(planner=self.daemon.position, life=self.daemon.life, heard=heard)
         self.call.send(node_pb2.OfferRequest(hello=hello))
         self.sent.append((0, None))
         first = self.call.recv(timeout)
@@ -109,6 +120,8 @@
     def _read(self) -> None:
         taken = 0
         while (message := self.call.recv()) is not None:
+            if message.number and not self._numbered(message.number):
+                continue
             event = convert.node_event(self.node, message)
             if event is None and message.WhichOneof("kind") == "sampled":
                 event = self._sampled(message.sampled)
@@ -118,6 +131,27 @@
             if taken % WORK_BATCH == 0:
                 gevent.sleep(0)
 
+    def _numbered(self, number: int) -> bool:
+        """A last word: taken once, in order, and acknowledged; a gap is asked for again."""
+        take, again = self.heard.take(number)
+        if again:
+            self.daemon.log.info("words missed", node=self.node, heard=self.heard.number, came=number)
+            self._ack(True)
+        elif self.heard.number - self.heard.acknowledged >= ACK_EVERY:
+            self._ack(False)
+        elif take and not self._ack_due:
+            self._ack_due = True
+            gevent.spawn_later(ACK_S, self._ack, False)
+        return take
+
+    def _ack(self, again: bool) -> None:
+        self._ack_due = False
+        if self.closing or self.call is None or self.call.stream.error is not None:
+            return
+        self.heard.acknowledged = self.heard.number
+        ack = node_pb2.OfferRequest.Ack(number=self.heard.number, again=again)
+        self.send(node_pb2.OfferRequest(ack=ack), None)
+
     def send(self, message: Any, id: AttemptId | None) -> bool:
         """Queue a message. False where the node has not read for so long that the buffer is full."""
         try:
@@ -208,6 +242,7 @@
         )
         self.server = Server(config.listen, served, limits)
         self.links: dict[int, NodeLink] = {}
+        self.heard: dict[int, tuple[int, Heard]] = {}  # node: its life, and its words so far
         self.owners: dict[int, ServerCall] = {}
         self.dropped_words = 0
         self.core_ns = 0  # time spent in the core and the module
@@ -434,7 +469,7 @@
         return link.channel.unary(path(NODE, method), request, answer.FromString, timeout_s=timeout_us / 1e6)
 
     def _ask_held(self, node: int) -> None:
-        request = node_pb2.HeldRequest(planner=self.position)
+        request = node_pb2.HeldRequest(planner=self.position, life=self.life)
         try:
             told = self._unary(node, "Held", request, node_pb2.HeldResponse, self.config.link_grace_us + 1)
         except RpcError as error:
--- a/stairplank/planner/events.py
+++ b/stairplank/planner/events.py
@@ -214,6 +214,7 @@
     node: int
     started_unix_us: int
     tasks: tuple[HeldTask, ...]
+    complete: bool = False  # what is neither held nor was told as over was never seen there
 
 
 @dataclass(frozen=True, slots=True)
--- a/stairplank/planner/links.py
+++ b/stairplank/planner/links.py
@@ -70,6 +70,29 @@
         return out
 
 
+class Heard:
+    """Numbered words of one node's life, each taken once and in order."""
+
+    def __init__(self) -> None:
+        self.number = 0  # all up to this one were taken
+        self.acknowledged = 0
+        self._asked_at = -1  # the number after which words were asked for again
+
+    def take(self, number: int) -> tuple[bool, bool]:
+        """Whether to take a word, and whether to ask for those before it again (once a gap)."""
+        if number == self.number + 1:
+            self.number = number
+            return True, False
+        if number <= self.number or self._asked_at == self.number:
+            return False, False
+        self._asked_at = self.number
+        return False, True
+
+    def opened(self) -> None:
+        """On a new stream the node begins with what was not heard."""
+        self._asked_at = -1
+
+
 class Redial:
     """Waits between dials: doubling from the first to the most, each drawn from its upper half."""
 
--- a/stairplank/rehearsal/checker.py
+++ b/stairplank/rehearsal/checker.py
@@ -19,6 +19,7 @@
 
 TOLERANCE_US = 250_000
 GROUP_PARTLY_US = 2_000_000
+ACROSS_US = 100_000  # what a planner says at once on two links may be read so far apart
 READY, DRAINING, GONE = "ready", "draining", "gone"
 _STATES = {
     directory_pb2.NodeEntry.STATE_READY: READY,
@@ -157,6 +158,8 @@
         self.here: dict[int, dict[tuple[int, Id], tuple[int, str]]] = defaultdict(dict)  # life: what counts
         self.runs: dict[tuple[str, int], dict[tuple[int, Id], Sent]] = defaultdict(dict)
         self.groups: dict[tuple[int, int], GroupSeen] = {}  # life and number of a try
+        self.said: set[tuple[int, int, int, int]] = set()  # numbered words
+        self.member_doubts: list[tuple[Message, Sent, Sent]] = []
         self.seen_life: dict[int, int] = {}
         self.partly: dict[tuple[int, int], GroupSeen] = {}
         self.member_of: dict[Id, tuple[tuple[int, int], int]] = {}
@@ -320,8 +323,7 @@
         self.member_of[sent.id] = (key, tag.member)
         earlier = self.members_out.get(sent.task)
         if earlier is not None and earlier.ended_at is None and not earlier.proven:
-            text = f"member offered to node {sent.node} while an attempt is out at node {earlier.node}"
-            self._breach(2, "member", text, m, sent.task, sent.node, [earlier.message])
+            self.member_doubts.append((m, sent, earlier))  # its stop may come right behind, on another link
         self.members_out[sent.task] = sent
 
     def _member_runs(self, m: Message, sent: Sent) -> None:
@@ -405,9 +407,17 @@
         elif kind == "stop":
             id = _id(m.body.stop.id)
             sent = self.offers.get((int(m.to.split()[1]), id))
-            if sent is not None and sent.ended_at is None and not sent.running:
-                sent.ended_at = m.at  # called off; it may still run
-                sent.word = "stopped"
+            if sent is None:
+                return
+            # Called off. What is not let run does not begin any more, what runs is ended by the node; that
+            # its word may be lost is no fault of the planner's.
+            for counted in self.here.values():
+                counted.pop((sent.node, sent.id), None)
+            if sent.id in self.member_of:
+                self._member_ended(m, sent, False)
+            if sent.ended_at is None and (not sent.running or sent.id in self.member_of):
+                sent.ended_at = m.at
+                sent.word = sent.word or "stopped"
 
     def _let_run(self, m: Message, key: tuple[int, int], member: int) -> None:
         group = self.groups[key]
@@ -575,6 +585,11 @@
             return
         if kind in (None, "usage", "sampled"):
             return
+        if m.body.number:
+            said = (node, self.seen_life.get(node, 0), life, m.body.number)
+            if said in self.said:
+                return  # said again, as it was not acknowledged
+            self.said.add(said)
         id = _id(getattr(m.body, kind).id)
         sent = self.offers.get((node, id))
         if sent is None:
@@ -619,7 +634,7 @@
         self.runs[sent.task][sent.node, sent.id] = sent
 
     def _last_word(self, m: Message, sent: Sent, kind: str, life: int) -> None:
-        if sent.word in ("refused", "error", "ended"):
+        if sent.word in ("refused", "error", "ended"):  # not "stopped": that is the planner's
             text = f"{kind} after {sent.word}: two last words on one attempt"
             self._breach(0, "attempts", text, m, sent.task, sent.node, [sent.message])
         sent.word = kind
@@ -647,8 +662,9 @@
             if task.running and id in self.member_of:
                 key, member = self.member_of[id]
                 group = self.groups[key]
-                if group.unsure.pop(member, None) is not None:
-                    group.running[member] = m.at
+                group.unsure.pop(member, None)
+                if member not in group.finished and member not in group.gone:
+                    group.running.setdefault(member, m.at)  # its own word of it may have been lost
                     self._weigh(group, m.at)
 
     # The node list
@@ -723,6 +739,10 @@
     def end(self) -> None:
         """After the last message: what was owed and never told, and what does not add up."""
         slack = self.facts["answer_slack_us"]
+        for m, sent, earlier in self.member_doubts:
+            if earlier.ended_at is None or earlier.ended_at > m.at + ACROSS_US:
+                text = f"member offered to node {sent.node} while an attempt is out at node {earlier.node}"
+                self._breach(2, "member", text, m, sent.task, sent.node, [earlier.message])
         for record in self.asks.values():
             assert record.ask is not None and record.deadline is not None
             late = (record.released or self.last_at) > record.deadline + slack
--- a/stairplank/standin/farm.py
+++ b/stairplank/standin/farm.py
@@ -17,9 +17,11 @@
 from ..rpc import Channel, Code, RpcError, Server, ServerCall
 from .config import FarmConfig, NodeConfig, begun
 from .node import Copies, Fell, Node, Probed, Said, SaidDraining, Word
+from .outbox import Outbox
 from .script import Fault
 
 ANNOUNCE_S = 0.1
+LAST_WORDS = ("refused", "error", "ended")
 _EVENT = node_pb2.OfferEvent
 _STATE = {
     api.NodeStatus.READY: directory_pb2.NodeEntry.STATE_READY,
@@ -63,6 +65,7 @@
         self.node: Node | None = None
         self.server: Server | None = None
         self.started_unix_us = 0
+        self.boxes: dict[int, Outbox] = {}  # last words to each planner's present life
         self.calls: dict[int, ServerCall] = {}  # the newest stream of each planner
         self.probes: dict[int, Any] = {}
         self.next_probe = 0
@@ -99,6 +102,7 @@
         if self.server is not None:
             self.server.stop()
         self.calls.clear()
+        self.boxes.clear()
         self.wake.set()
 
     # Time
@@ -138,6 +142,11 @@
 
     def tell(self, word: Said) -> None:
         call = self.calls.get(word.planner)
+        event = message(word)
+        if word.what in LAST_WORDS:
+            box = self.boxes.get(word.planner)
+            if box is not None:
+                event.number = box.add(event)
         if call is None or self.silent:
             return
         share, how = self.losing
@@ -145,7 +154,7 @@
             if how == "reset":
                 call.stream.connection.close(RpcError(Code.UNAVAILABLE, "reset by script"))
             return
-        self.put(call, message(word))
+        self.put(call, event)
 
     @staticmethod
     def put(call: ServerCall, event: Any) -> None:
@@ -165,7 +174,18 @@
         node = self.living()
         planner = first.hello.planner
         welcome = _EVENT.Welcome(node=self.id, started_unix_us=self.started_unix_us, draining=node.draining)
+        # The newer stream wins. What is still unread of the older one must not be looked at any more: the
+        # planner takes what is neither held nor told as over for never seen.
+        older = self.calls.pop(planner, None)
+        if older is not None:
+            older.stream.connection.close(RpcError(Code.ABORTED, "a newer stream of this planner is here"))
         call.send(_EVENT(welcome=welcome))
+        box = self.boxes.get(planner)
+        if box is None or box.life != first.hello.life:
+            box = self.boxes[planner] = Outbox(first.hello.life)
+        box.heard(first.hello.heard)
+        for _, event in box.after(first.hello.heard):
+            self.put(call, event)
         self.calls[planner] = call
         try:
             while (request := call.recv()) is not None:
@@ -195,6 +215,12 @@
                         convert.tag_from(offer.group) if offer.HasField("group") else None,
                     )
                 )
+            case "ack":
+                box = self.boxes.get(planner)
+                if box is not None:
+                    box.heard(request.ack.number)
+                    for _, event in box.after(request.ack.number) if request.ack.again else ():
+                        self.put(call, event)
             case "commit":
                 ids = [convert.id_from(i) for i in request.commit.ids]
                 self.say(node.commit(now_us(), ids, request.commit.lease_us))
@@ -233,7 +259,9 @@
     def held(self, request: Any, call: ServerCall) -> Any:
         self.hung.wait()
         node = self.living()
-        answer = node_pb2.HeldResponse(node=self.id, started_unix_us=self.started_unix_us)
+        box = self.boxes.get(request.planner)
+        complete = box is not None and box.life == request.life and box.complete
+        answer = node_pb2.HeldResponse(node=self.id, started_unix_us=self.started_unix_us, complete=complete)
         for offer in node.holds(request.planner):
             running = offer.stage.value == "running"
             answer.tasks.add(
