--- a/tests/planner/test_daemon.py
+++ b/tests/planner/test_daemon.py
@@ -411,19 +411,21 @@
     assert {e.node: e.ok for e in told if type(e).__name__ == "ProbeTold"} == {1: False, 2: True}
 
 
-def test_a_last_word_that_went_missing_is_asked_for_again(world: World) -> None:
-    call = world.owner()
-    for n in (1, 2):
-        call.send(ask(n, service=9))  # one service: one node
-        assert word(call, "placed").ask == n
-    node = next(n for n in world.nodes if n.offers)
-    if len(node.offers) < 2:
-        node.offers += next(n for n in world.nodes if n is not node).offers
-    ended = [_EVENT.Ended(id=o.id, how=_EVENT.Ended.HOW_FINISHED) for o in node.offers]
-    node.say(ended=ended[1], number=2)  # the first one was lost on its way
-    world.until(lambda: (0, True) in node.acks)
-    for number, part in enumerate(ended, 1):
-        node.say(ended=part, number=number)
-    assert sorted(word(call, "ended").ask for _ in range(2)) == [1, 2]
-    world.until(lambda: (2, False) in node.acks)
-    assert sum(again for _, again in node.acks) == 1
+def test_a_last_word_that_went_missing_is_asked_for_again(tmp_path: Path) -> None:
+    world = World(tmp_path, nodes=1)
+    (node,) = world.nodes
+    try:
+        call = world.owner()
+        for n in (1, 2):
+            call.send(ask(n, service=n))
+            assert word(call, "placed").ask == n
+        ended = [_EVENT.Ended(id=o.id, how=_EVENT.Ended.HOW_FINISHED) for o in node.offers]
+        node.say(ended=ended[1], number=2)  # the first one was lost on its way
+        world.until(lambda: (0, True) in node.acks)
+        for number, part in enumerate(ended, 1):
+            node.say(ended=part, number=number)
+        assert sorted(word(call, "ended").ask for _ in range(2)) == [1, 2]
+        world.until(lambda: (2, False) in node.acks)
+        assert sum(again for _, again in node.acks) == 1
+    finally:
+        world.close()
