The tests' hand-made node reports its room

Cause: its empty report told the planner of no free room, so that a second task found no place; tests with two tasks depended on which node took the first.

--- a/tests/planner/test_daemon.py
+++ b/tests/planner/test_daemon.py
@@ -78,7 +78,8 @@
             if kind == "probe":
                 self.probes += 1
                 if self.reports:
-                    self.say(sampled=_EVENT.Sampled(probe=request.probe.probe))
+                    report = common_pb2.Report(free_cores=1000, free_memory=1000)
+                    self.say(sampled=_EVENT.Sampled(probe=request.probe.probe, report=report))
                 continue
             if kind == "stop":
                 self.stops.append(request.stop)
