--- a/stairplank/planner/daemon.py
+++ b/stairplank/planner/daemon.py
@@ -424,6 +424,10 @@
         call = self.owners.get(action.session)
         if call is None:
             return
+        if not isinstance(action.word, (ev.Taken, ev.Offered)):
+            self.log.debug(
+                "told", session=action.session, word=type(action.word).__name__, ask=action.word.ask
+            )
         full = call.stream.out_bytes > self.config.send_buffer // 2
         if full and isinstance(action.word, ev.Offered):
             self.dropped_words += 1  # the first to go where an owner is slow: no outcome hangs on it
@@ -447,6 +451,9 @@
     def _send_offer(self, action: ev.SendOffer) -> None:
         link = self.links.get(action.node)
         if link is not None:
+            name = f"{action.task.owner}/{action.task.key}"
+            number = f"{action.id.placing}.{action.id.attempt}"
+            self.log.debug("offered", task=name, attempt=number, node=action.node)
             sort = self.config.settings.classes[action.class_index]
             self._send(link, convert.offer_to(action, sort), action.id)
 
--- a/stairplank/rehearsal/checker.py
+++ b/stairplank/rehearsal/checker.py
@@ -15,10 +15,12 @@
 from typing import Any
 
 from ..proto import directory_pb2, node_pb2
+from ..settings.values import duration
 from .decode import Message
 
 TOLERANCE_US = 250_000
 GROUP_PARTLY_US = 2_000_000
+PAUSE_OVER_US = 100_000  # a planner that was stood still is given so long to wake
 ACROSS_US = 100_000  # what a planner says at once on two links may be read so far apart
 READY, DRAINING, GONE = "ready", "draining", "gone"
 _STATES = {
@@ -137,6 +139,7 @@
     def __init__(self, facts: dict[str, Any]) -> None:
         self.facts = facts
         self.classes = {c["name"]: c for c in facts["classes"]}
+        self.script: list[tuple[int, str]] = []  # what the script did, as the capture tells it
         self.breaches: list[Breach] = []
         self.counts = Counts()
         self.first_at = 0
@@ -285,7 +288,7 @@
             self._breach(1, "one outcome", text, m, record.task, others=shown)
             return
         record.outcome, record.what = m, kind
-        late = m.at - (record.ask.at + record.wait_us)
+        late = m.at - self._due_by(record)
         if late > self.facts["answer_slack_us"] and record.released is None:
             text = f"{kind} {late / 1e3:.1f} ms after its owner gave up"
             self._breach(1, "in time", text, m, record.task, others=shown)
@@ -308,7 +311,7 @@
             self._breach(1, "one outcome", text, m, record.task, others=shown)
             return
         record.outcome, record.what = m, kind
-        late = m.at - (record.ask.at + record.wait_us)
+        late = m.at - self._due_by(record)
         if late > self.facts["answer_slack_us"] and record.released is None:
             text = f"{kind} {late / 1e3:.1f} ms after its owner gave up"
             self._breach(1, "in time", text, m, record.task, others=shown)
@@ -320,6 +323,8 @@
         key = (tag.life, tag.group)
         group = self.groups.setdefault(key, GroupSeen(key, tag.size))
         group.offered.add(tag.member)
+        for former in (group.gone, group.finished, group.let_run):
+            former.discard(tag.member)  # of the try before
         self.member_of[sent.id] = (key, tag.member)
         earlier = self.members_out.get(sent.task)
         if earlier is not None and earlier.ended_at is None and not earlier.proven:
@@ -364,6 +369,22 @@
             text = f"group {number} of life {life}: {alive} of {group.size} members for over 2 s"
             self._breach(6, "partly running", text, group.evidence)
 
+    def _due_by(self, record: Record) -> int:
+        """When an answer is due: the owner's deadline, or the end of a pause of the planner that covers it.
+
+        A planner that the script stands still does not run; on waking it owes what fell due at once.
+        """
+        assert record.ask is not None
+        due = record.ask.at + record.wait_us
+        for at, what in self.script:
+            words = what.split()
+            if len(words) < 5 or words[0] != "planner" or words[-2] != "for" or words[-3] != "pause":
+                continue
+            end = at + duration(words[-1])
+            if record.ask.to.split()[1] in words[1:-3] and at <= due <= end:
+                due = end + PAUSE_OVER_US
+        return due
+
     def _refusal(self, m: Message, record: Record) -> None:
         """Rule 2: a refusal promises that asking again does no harm."""
         sort = self.classes.get(record.task_class)
@@ -745,7 +766,7 @@
                 self._breach(2, "member", text, m, sent.task, sent.node, [earlier.message])
         for record in self.asks.values():
             assert record.ask is not None and record.deadline is not None
-            late = (record.released or self.last_at) > record.deadline + slack
+            late = (record.released or self.last_at) > self._due_by(record) + slack
             if record.outcome is None and late:
                 taken = "taken and never answered" if record.taken else "never answered"
                 self._breach(1, "no task lost", taken, record.ask, record.task, others=[record.taken])
--- a/stairplank/rehearsal/run.py
+++ b/stairplank/rehearsal/run.py
@@ -96,6 +96,7 @@
     try:
         checker = Checker(reader.facts)
         decoder, each = messages(reader)
+        checker.script = decoder.script  # grows as the messages are read
         checker.feed(each)
         checker.end()
         return checker, decoder.problems, decoder.script
--- /dev/null
+++ b/tests/cli/test_cli.py
@@ -0,0 +1,138 @@
+"""The command as people use it: help, exit codes, logs, a room of its own processes."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+
+LIMIT_S = 60
+ROOM = """
+class worker
+    effect repeatable
+    aim 2s
+    deadline 6s
+end
+kind std cores 8 memory 16
+zone a
+mean-cores 1
+mean-memory 2
+"""
+
+
+def run(*args: str) -> subprocess.CompletedProcess[str]:
+    command = [sys.executable, "-m", "stairplank", *args]
+    return subprocess.run(command, capture_output=True, text=True, timeout=LIMIT_S)
+
+
+@pytest.mark.parametrize(
+    "command",
+    ["planner", "node", "directory", "owners", "place", "rehearse", "judge", "check", "experiment"],
+)
+def test_every_command_has_help(command: str) -> None:
+    done = run(command, "--help")
+    assert done.returncode == 0 and "Usage:" in done.stdout
+
+
+def test_bad_input_is_exit_code_2(tmp_path: Path) -> None:
+    bad = tmp_path / "bad.conf"
+    bad.write_text("planner 0 of 1\nlisten nowhere\n")
+    for args in (
+        ("check", str(bad)),
+        ("check", "--as", "scenario", str(bad)),
+        ("planner", str(bad)),
+        ("node", str(tmp_path / "none")),
+        ("rehearse", str(bad)),
+        ("rehearse", "--day", str(bad)),
+        ("judge", str(bad)),
+        ("experiment", str(bad)),
+        ("place", "no-address", "--class", "worker"),
+        ("rehearse", "--no-such-option"),
+    ):
+        done = run(*args)
+        assert done.returncode == 2, (args, done.stdout, done.stderr)
+        assert "rror" in done.stderr
+
+
+def test_errors_name_file_line_and_column(tmp_path: Path) -> None:
+    bad = tmp_path / "bad.conf"
+    bad.write_text("planner 0 of 1\nlisten nowhere\nfrobnicate 7\n")
+    lines = run("check", str(bad)).stderr.splitlines()
+    assert any(line.startswith(f"error: {bad}:2:8: listen: ") for line in lines)
+    assert any(line.startswith(f"error: {bad}:3:1: frobnicate: unknown keyword") for line in lines)
+    good = tmp_path / "good.conf"
+    good.write_text(ROOM + "planner 0 of 1\nlisten 127.0.0.1:0\ndirectory 127.0.0.1:1\n")
+    done = run("check", str(good))
+    assert done.returncode == 0 and done.stdout.endswith("good\n")
+
+
+@pytest.fixture
+def room() -> Iterator[Path]:
+    """Directory, node and planner as processes; sockets in a folder with a short name."""
+    folder = Path(tempfile.mkdtemp(prefix="spt"))
+    (folder / "list.conf").write_text(f"listen unix:{folder}/list\nlist-notice 50ms\nlist-period 50ms\n")
+    node = f"node 1 n1\n  kind std\n  zone a\n  rack r\n  listen unix:{folder}/n1\nend\n"
+    (folder / "node.conf").write_text(ROOM + f"directory unix:{folder}/list\n" + node)
+    planner = f"planner 0 of 1\nlisten unix:{folder}/p\ndirectory unix:{folder}/list\n"
+    (folder / "planner.conf").write_text(ROOM + planner)
+    started = []
+    for command, file, socket in (
+        ("directory", "list", "list"),
+        ("node", "node", "n1"),
+        ("planner", "planner", "p"),
+    ):
+        args = [sys.executable, "-m", "stairplank", "--log-format", "json", "--log-level", "debug"]
+        log = (folder / f"{file}.log").open("wb")
+        started.append(
+            subprocess.Popen(
+                [*args, "--end-with-stdin", command, str(folder / f"{file}.conf")],
+                stdin=subprocess.PIPE, stderr=log,
+            )
+        )  # fmt: skip
+        until = time.monotonic() + LIMIT_S
+        while not (folder / socket).exists():
+            assert started[-1].poll() is None and time.monotonic() < until
+            time.sleep(0.02)
+    yield folder
+    for process in started:
+        if process.poll() is None:
+            process.kill()
+        process.wait(timeout=10)
+        assert process.stdin is not None
+        process.stdin.close()
+
+
+def test_place_prints_the_stream(room: Path) -> None:
+    address = f"unix:{room}/p"
+    common = ("--class", "worker", "--cores", "0.5", "--memory", "1", "--life", "0.2")
+    done = run("place", address, *common, "--count", "3", "--follow")
+    assert done.returncode == 0, done.stdout + done.stderr
+    kinds = [line.split()[2] for line in done.stdout.splitlines()]
+    assert sorted(kinds) == sorted(["taken", "offered", "placed", "ended"] * 3)
+    refused = run("place", address, "--class", "nothing")
+    assert refused.returncode == 1 and "field=task.task_class" in refused.stdout
+    big = run("place", address, *common[:2], "--cores", "100")
+    assert big.returncode == 1 and "field=task.cores" in big.stdout
+    lines = [json.loads(line) for line in (room / "planner.log").read_text().splitlines()]
+    offered = [x for x in lines if x["event"] == "offered"]
+    assert len(offered) == 3 and all(x["task"].startswith("operator/") for x in offered)
+    assert {x["attempt"] for x in offered} == {"1.0", "2.0", "3.0"} and offered[0]["level"] == "debug"
+
+
+def test_sigterm_ends_a_planner_well(room: Path) -> None:
+    for entry in Path("/proc").iterdir():
+        if entry.name.isdigit() and f"{room}/planner.conf".encode() in (entry / "cmdline").read_bytes():
+            os.kill(int(entry.name), signal.SIGTERM)
+    log = room / "planner.log"
+    until = time.monotonic() + LIMIT_S
+    while "planner has left" not in log.read_text() and time.monotonic() < until:
+        time.sleep(0.05)
+    assert "planner has left" in log.read_text()
--- a/tests/rehearsal/test_checker.py
+++ b/tests/rehearsal/test_checker.py
@@ -119,6 +119,20 @@
     assert tape.breaches() == []
 
 
+@pytest.mark.parametrize(("planner", "breaches"), [(0, []), (1, [(1, "in time")])])
+def test_a_planner_that_was_stood_still_answers_on_waking(
+    tape: Tape, planner: int, breaches: list[tuple[int, str]]
+) -> None:
+    from stairplank.rehearsal import capture
+
+    owner = Owner(tape)
+    owner.ask(1, wait=SECOND)
+    tape.writer.write(capture.SCRIPT, tape.at, 0, f"planner {planner} pause for 1500ms".encode())
+    tape.wait(1550 * MS)
+    owner.tell("refused", 1)
+    assert tape.breaches() == breaches
+
+
 def test_two_outcomes(tape: Tape) -> None:
     owner = Owner(tape)
     owner.ask(1)
--- a/tests/rehearsal/test_checker_groups.py
+++ b/tests/rehearsal/test_checker_groups.py
@@ -161,3 +161,24 @@
     group.tape.wait(7 * SECOND)
     group.owner.tell_group("group_refused", 1)
     assert group.tape.breaches() == [(1, "in time")]
+
+
+def test_a_second_try_is_judged_afresh(group: Group) -> None:
+    group.offer(0, 1, 2)
+    group.run(0, 1)
+    for m in (0, 1):
+        group.nodes[m].stop(10 + m)
+        group.nodes[m].says("ended", 10 + m, how=2)
+    group.nodes[2].says("refused", 12)
+    for m in (0, 1, 2):
+        group.nodes[m].member(1, m, 3, 20 + m)
+        group.nodes[m].says("ready", 20 + m)
+    for m in (0, 1, 2):
+        group.nodes[m].commit(20 + m)
+        group.nodes[m].says("running", 20 + m)
+    group.placed()
+    group.nodes[1].link.close()
+    again = ToNode(group.tape, 2)
+    again.holds(21, life=70, sort="worker", service=51)
+    group.tape.wait(5 * SECOND)
+    assert group.tape.breaches() == []
