A group is answered by its deadline also while it is being released

Where no member was let run nothing of the group can run any more, so the answer need not wait; else it is 'failed'. The stateful model then found a withdrawal followed by that answer: mended. In the checker a late word on a former attempt ended a member that ran by another: mended, with a case.

--- a/stairplank/groups/coordinator.py
+++ b/stairplank/groups/coordinator.py
@@ -150,6 +150,7 @@
     why: str = ""
     ran: bool = False  # members of it were let run at some time
     answered: bool = False
+    placed: bool = False
     final: bool = False  # no further try after the release
     generation: int = 0
 
@@ -245,7 +246,7 @@
         """A whole group of an earlier life of this planner: it is kept on."""
         self._begin(now)
         group = Group(number, spec, now, now, Stand.WHOLE, [Member.RUNNING] * len(spec.members), dict(nodes))
-        group.answered = group.ran = True
+        group.answered = group.placed = group.ran = True
         group.lease_us = self.config.lease_us
         self.groups[number] = group
         self._keep(group)
@@ -287,6 +288,8 @@
                 self._short(group, "not all members found a place in time")
             case Stand.COMMITTED | Stand.WHOLE:
                 self._keep(group)
+            case Stand.RELEASING:
+                self._answer_while_releasing(group)
 
     def _try(self, group: Group) -> None:
         """Begin a try, unless there is no point in it yet."""
@@ -383,7 +386,7 @@
             return
         group.stand = Stand.WHOLE
         if not group.answered:
-            group.answered = True
+            group.answered = group.placed = True
             self.out.append(Placed(group.number, tuple(going), self._wishes_met(group), group.tries))
         self._keep(group)
         self._perhaps_ended(group)
@@ -427,8 +430,23 @@
         members = tuple(i for i, m in enumerate(group.members) if m in open_ones)
         if members:
             self.out.append(Release(group.number, members))
+        if not group.answered:
+            self._at(group, max(self.now, group.deadline - self.config.answer_us))
         self._perhaps_released(group)
 
+    def _answer_while_releasing(self, group: Group) -> None:
+        """The deadline comes before the last word on what is being released; words may have been lost.
+
+        Where no member was let run nothing of the group can run any more, whatever the nodes still say.
+        """
+        if group.answered:
+            return  # withdrawn meanwhile
+        group.answered = group.final = True
+        if group.ran:
+            self.out.append(Failed(group.number, group.why))
+        else:
+            self.out.append(Refused(group.number, group.why, False, self.config.back_off_most_us))
+
     def _perhaps_released(self, group: Group) -> None:
         """Invariant 4: only when every attempt is over is the group tried again, or answered for good."""
         if any(m in (Member.ASKED, Member.READY, Member.RUNNING) for m in group.members):
@@ -483,7 +501,7 @@
         self._drop(group)
 
     def _end(self, group: Group, finished: bool) -> None:
-        if group.ran and group.answered:
+        if group.placed:
             self.out.append(Ended(group.number, finished))
         self._drop(group)
 
--- a/stairplank/rehearsal/checker.py
+++ b/stairplank/rehearsal/checker.py
@@ -99,6 +99,7 @@
     finished: set[int] = field(default_factory=set)
     gone: set[int] = field(default_factory=set)  # ran, and ended otherwise
     unsure: dict[int, int] = field(default_factory=dict)  # ran when the link to its node was cut, then
+    attempt: dict[int, Id] = field(default_factory=dict)  # the one by which a member runs
     last_run: int = 0  # when a member was last known to run
     partly_since: int | None = None
     evidence: Message | None = None
@@ -335,12 +336,15 @@
         key, member = self.member_of[sent.id]
         group = self.groups[key]
         group.running[member] = m.at
+        group.attempt[member] = sent.id
         group.evidence = m
         self._weigh(group, m.at)
 
     def _member_ended(self, m: Message, sent: Sent, finished: bool) -> None:
         key, member = self.member_of[sent.id]
         group = self.groups[key]
+        if group.attempt.get(member, sent.id) != sent.id:
+            return  # a late word on an attempt that was given up: the member runs by another
         group.last_run = m.at if group.running else group.last_run
         cut = group.unsure.pop(member, None)
         if group.running.pop(member, None) is not None or cut is not None:
@@ -685,6 +689,7 @@
                 group = self.groups[key]
                 group.unsure.pop(member, None)
                 if member not in group.finished and member not in group.gone:
+                    group.attempt[member] = id
                     group.running.setdefault(member, m.at)  # its own word of it may have been lost
                     self._weigh(group, m.at)
 
--- a/tests/rehearsal/test_checker_groups.py
+++ b/tests/rehearsal/test_checker_groups.py
@@ -182,3 +182,18 @@
     again.holds(21, life=70, sort="worker", service=51)
     group.tape.wait(5 * SECOND)
     assert group.tape.breaches() == []
+
+
+def test_a_late_word_on_a_former_attempt_ends_no_member(group: Group) -> None:
+    group.offer(0, 1, 2)
+    group.nodes[1].stop(11)
+    group.nodes[0].member(1, 1, 3, 31)
+    group.nodes[0].says("ready", 31)
+    for placing, node in ((10, 0), (31, 0), (12, 2)):
+        group.nodes[node].commit(placing)
+        group.nodes[node].says("running", placing)
+    group.placed()
+    group.nodes[1].says("refused", 11)
+    group.tape.wait(5 * SECOND)
+    group.nodes[2].says("ended", 12, how=1)
+    assert group.tape.breaches() == []
