--- a/tests/rehearsal/test_checker.py
+++ b/tests/rehearsal/test_checker.py
@@ -235,6 +235,26 @@
     assert tape.breaches() == [(2, "once")]
 
 
+@pytest.mark.parametrize(
+    ("complete", "accepted", "breaches"),
+    [(True, False, []), (False, False, [(2, "once")]), (True, True, [(2, "once")])],
+)
+def test_a_node_may_prove_that_it_never_saw_an_offer(
+    tape: Tape, complete: bool, accepted: bool, breaches: list[tuple[int, str]]
+) -> None:
+    listed(tape)
+    owner, node, other = Owner(tape), ToNode(tape, 1), ToNode(tape, 2)
+    owner.ask(1, "report")
+    node.offer(1, 0, "report")
+    if accepted:
+        node.says("accepted", 1)
+    node.link.close()
+    ToNode(tape, 1).holds(9, 70, "report", 5, complete=complete, nothing=True)
+    other.offer(1, 1, "report")
+    owner.tell("failed", 1)
+    assert tape.breaches() == breaches
+
+
 def test_a_keyed_task_out_of_its_group(tape: Tape) -> None:
     listed(tape)
     owner, node, other = Owner(tape), ToNode(tape, 1), ToNode(tape, 6)
