--- a/benchmarks/path/run.py
+++ b/benchmarks/path/run.py
@@ -218,10 +218,11 @@
     parser.add_argument("--nodes", default="12,76,300")
     parser.add_argument("--seconds", type=float, default=8.0)
     parser.add_argument("--profile", help="write a cProfile of the planner at the first size to this file")
+    parser.add_argument("--alone", action=argparse.BooleanOptionalAction, default=True)
     args = parser.parse_args()
     rows = []
     sizes = list(map(int, args.nodes.split(",")))
-    for nodes, planners in [(n, max(1, n // 4)) for n in sizes] + [(n, 1) for n in sizes]:
+    for nodes, planners in [(n, max(1, n // 4)) for n in sizes] + [(n, 1) for n in sizes if args.alone]:
         room = Room(nodes, 200, planners, Path(args.profile) if args.profile else None)
         rate, cpu_us = saturated(room, args.seconds)
         spent = room.close()
--- a/benchmarks/path/timed_planner.py
+++ b/benchmarks/path/timed_planner.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import json
+import logging
 import resource
 import sys
 import time
@@ -19,7 +20,11 @@
 
 
 def main() -> None:
-    structlog.configure(logger_factory=structlog.PrintLoggerFactory(sys.stderr))
+    structlog.configure(
+        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+        wrapper_class=structlog.make_filtering_bound_logger(logging.INFO),  # as the command does by default
+        cache_logger_on_first_use=True,
+    )
     _end_with_stdin()
     daemon = Daemon(load_planner(sys.argv[1]))
     handle = daemon.core.module.handle
