A planner forgets the words of nodes that have left the list

Cause: the table of last words heard grew with every node that ever came and went, for as long as the planner lived. It is dropped with the node's link; the test fails without it (seen). Measured: the daemon's 27 tests pass.

--- a/stairplank/planner/daemon.py
+++ b/stairplank/planner/daemon.py
@@ -468,6 +468,8 @@
         if self.links.get(link.node) is link:
             del self.links[link.node]
         self.feed(event)
+        if link.node not in self.core.links:
+            self.heard.pop(link.node, None)  # a node that has left: its words need not be remembered
 
     def _unary(self, node: int, method: str, request: Any, answer: Any, timeout_us: int) -> Any:
         link = self.links.get(node)
