The test of a forgotten node waits for both welcomes

Cause: it looked at the table before the planner had read both nodes' first words, and failed two times in three; said that it had been seen to fail without the guard, but that failure was this race. Now: passes four times of four, and fails with the guard taken out.

--- a/tests/planner/test_daemon.py
+++ b/tests/planner/test_daemon.py
@@ -433,7 +433,7 @@
 
 
 def test_a_node_that_has_left_is_forgotten(world: World) -> None:
-    assert set(world.daemon.heard) == {1, 2}
+    world.until(lambda: set(world.daemon.heard) == {1, 2})
     entries = [e for e in world.entries() if e.id == 2]
     world.watchers[-1].send(directory_pb2.NodeList(revision=2, full=True, nodes=entries))
     world.until(lambda: set(world.daemon.links) == {2})
