--- a/stairplank/planner/core.py
+++ b/stairplank/planner/core.py
@@ -152,8 +152,7 @@
         return self.floor.counts
 
     def _begin(self, now: int) -> None:
-        self.floor.now = max(self.floor.now, now)  # a clock that goes back is no time at all
-        self.floor.out = []
+        self.floor.begin(now)
 
     def _run(self) -> None:
         """Let the module decide on what has been fed, and carry its actions out, until both are done."""
--- /dev/null
+++ b/stairplank/platform/board.py
@@ -0,0 +1,108 @@
+"""The list of machines as the notice board tells it: numbered notices, each once and in order. No I/O.
+
+Invariants:
+
+1. A notice is taken where its number is the next, or where it holds the whole list and is newer. Repeats
+   are passed over.
+2. A number ahead of what was taken, by a notice or by the number alone, means a gap: ``take`` says so, and
+   the caller watches anew from ``rev``.
+3. A machine's start on our clock is worked out once a start, so that it does not seem to change.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable
+from dataclasses import dataclass
+from hashlib import blake2b
+from typing import Any
+
+from .. import interface as api
+from .messages import Unreadable
+
+STATES = {
+    "SERVING": api.NodeStatus.READY,
+    "DRAINING": api.NodeStatus.DRAINING,
+    "DELETED": api.NodeStatus.GONE,
+}
+NAME_MOST = 200
+
+
+@dataclass(frozen=True, slots=True)
+class Listed:
+    """A machine of a notice."""
+
+    entry: api.NodeEntry
+    name: str
+    address: str
+
+
+@dataclass(frozen=True, slots=True)
+class Notice:
+    whole: bool
+    machines: tuple[Listed, ...]
+
+
+def number_of(name: str) -> int:
+    """A machine's number: the same at every planner, as parts are cut by it."""
+    return int.from_bytes(blake2b(name.encode(), digest_size=6).digest(), "big")
+
+
+class Board:
+    """``clock`` gives Unix time and our own in microseconds, read together."""
+
+    def __init__(
+        self, zones: tuple[str, ...], kinds: tuple[str, ...], clock: Callable[[], tuple[int, int]]
+    ) -> None:
+        self.rev = 0
+        self._zones = {name: i for i, name in enumerate(zones)}
+        self._kinds = {name: i for i, name in enumerate(kinds)}
+        self._clock = clock
+        self._started: dict[int, tuple[int, int]] = {}  # machine: its start as told, and on our clock
+
+    def take(self, value: dict[str, Any]) -> tuple[Notice | None, bool]:
+        """A line's notice, if it brings one, and whether something was missed. Raises Unreadable."""
+        rev = value.get("rev")
+        if not isinstance(rev, int) or isinstance(rev, bool) or rev < 0:
+            raise Unreadable("a notice without a number")
+        pool = value.get("pool")
+        if pool is None:
+            return None, rev > self.rev
+        if not isinstance(pool, dict) or not isinstance(pool.get("hosts"), list):
+            raise Unreadable("a notice without machines")
+        if rev <= self.rev:
+            return None, False
+        whole = pool.get("whole") is True
+        if rev != self.rev + 1 and not whole:
+            return None, True
+        machines = tuple(self._listed(row) for row in pool["hosts"])
+        self.rev = rev
+        if whole:
+            listed = {m.entry.id for m in machines}
+            self._started = {n: s for n, s in self._started.items() if n in listed}
+        for machine in machines:
+            if machine.entry.status is api.NodeStatus.GONE:
+                self._started.pop(machine.entry.id, None)
+        return Notice(whole, machines), False
+
+    def _listed(self, row: Any) -> Listed:
+        try:
+            name, address, status = row["host"], row["dial"], STATES[row["health"]]
+            born, group, spare = int(row.get("born_ms") or 0), int(row.get("block") or 0), row.get("spare")
+            cores, memory = (float(spare[0]), float(spare[1])) if spare else (0.0, 0.0)
+            zone, kind = self._zones.get(row.get("site"), 0), self._kinds.get(row.get("class"), -1)
+        except (KeyError, TypeError, ValueError, IndexError):
+            raise Unreadable("a machine's entry that cannot be read") from None
+        if not isinstance(name, str) or not 0 < len(name) <= NAME_MOST or not isinstance(address, str):
+            raise Unreadable("a machine without a name or an address")
+        if not (math.isfinite(cores) and math.isfinite(memory)):
+            raise Unreadable("a machine's room that is no number")
+        node = number_of(name)
+        launched = 0
+        if born > 0:
+            known = self._started.get(node)
+            if known is None or known[0] != born:
+                unix, own = self._clock()
+                known = self._started[node] = (born, max(1, own - max(0, unix - born * 1000)))
+            launched = known[1]
+        return Listed(api.NodeEntry(node, zone, kind, group, status, cores, memory, launched), name, address)
--- /dev/null
+++ b/stairplank/platform/config.py
@@ -0,0 +1,77 @@
+"""What the platform tells a planner: the file that ``GW_CONFIG`` names. Reads files, decides nothing."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from .. import interface as api
+from .. import wire
+
+CONFIG_MOST = 16_000_000  # bytes
+
+
+class ConfigError(Exception):
+    """The file cannot be used; the text says why."""
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    name: str
+    listen: str
+    board: str
+    seed: int
+    sockets: int
+    settings: api.Settings
+    zones: tuple[str, ...]
+    fields: tuple[str, ...]  # of load reports, as machines name them
+    dial_timeout_us: int
+    idle_us: int
+    known: tuple[dict[str, Any], ...]
+
+
+def read(path: str) -> dict[str, Any]:
+    """The file's object. Raises ConfigError."""
+    try:
+        with open(path, "rb") as file:
+            value = json.loads(file.read(CONFIG_MOST))
+    except (OSError, ValueError, RecursionError) as error:
+        raise ConfigError(f"{path}: {error}") from None
+    if not isinstance(value, dict):
+        raise ConfigError(f"{path}: no JSON object")
+    return value
+
+
+def board_of(value: Mapping[str, Any]) -> str:
+    """The board's address. Raises ConfigError."""
+    board = value.get("board")
+    host, _, port = board.rpartition(":") if isinstance(board, str) else ("", "", "")
+    if not host or not port.isdigit() or not 0 < int(port) < 65536:
+        raise ConfigError(f"board: {board!r} is no address")
+    return f"{host}:{port}"
+
+
+def load(path: str) -> Config:
+    """Raises ConfigError."""
+    value = read(path)
+    try:
+        options = wire.Options(wire.flattened(value["settings"]))
+        settings = wire.settings_from(options)
+        known = value.get("known") or {}
+        return Config(
+            name=str(value.get("name", "")),
+            listen=str(value["listen"]),
+            board=board_of(value),
+            seed=int(str(value.get("seed", "0")), 16),
+            sockets=int(value.get("limits", {}).get("sockets", 1024)),
+            settings=settings,
+            zones=options.items("dcs", str),
+            fields=options.items("report.fields", str),
+            dial_timeout_us=options.whole("limits.dial_timeout_us", 250_000),
+            idle_us=options.whole("limits.conn_idle_us", 30_000_000),
+            known=tuple(known.get("notices", ())),
+        )
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise ConfigError(f"{path}: {type(error).__name__}: {error}") from None
--- /dev/null
+++ b/stairplank/platform/core.py
@@ -0,0 +1,138 @@
+"""The platform's conductor: routes events to the rooms, lets time pass, asks the module. No I/O, clock or
+global state.
+
+``handle`` takes the time and events and returns actions; ``next_due`` says when it wants a ``Due``. Where a
+task goes is said by ``decide.Planner`` alone, which is fed what ``simhost`` feeds it.
+
+| room | looks after |
+| --- | --- |
+| ``owed`` | connections of owners, tasks, the one answer and the one release of each |
+| ``out`` | attempts at machines, tests, leftovers |
+| ``links`` | connections to machines, whether a machine is still there |
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from .. import interface as api
+from ..decide import Planner
+from ..planner.ground import Ground
+from . import events as ev
+from .board import Notice
+from .links import Links
+from .out import Out
+from .owed import Owed
+
+
+class Core:
+    """One life of a planner. ``fields``: of load reports, as machines name them, in the settings' order."""
+
+    def __init__(
+        self,
+        settings: api.Settings,
+        fields: tuple[str, ...],
+        seed: int,
+        sockets: int,
+        dial_timeout_us: int = 250_000,
+    ) -> None:
+        self.ground = Ground()
+        self.module = Planner(settings, seed)
+        self.owed = Owed(self.ground, settings)
+        self.out = Out(self.ground, settings, fields)
+        self.links = Links(self.ground, sockets, dial_timeout_us)
+        self.owed.out = self.out
+        self.out.owed, self.out.links = self.owed, self.links
+        self.links.out = self.out
+        self._handlers: dict[type, Callable[[Any], None]] = {
+            ev.OwnerCame: self.owed.came,
+            ev.OwnerSaid: self.owed.said,
+            ev.OwnerLeft: self.owed.left,
+            ev.LinkUp: self.links.came_up,
+            ev.LinkFailed: self.links.failed,
+            ev.LinkLost: self.links.lost,
+            ev.MachineSaid: self.links.said,
+            ev.BoardTold: lambda event: self.links.told(event.notice),
+            ev.BoardLost: lambda event: self.ground.feed(api.NodeList(api.ListKind.FAILED)),
+            ev.StopAsked: lambda event: self.owed.leave(),
+            ev.Due: lambda event: None,
+        }
+        self._carriers: dict[type, Callable[[Any], None]] = {
+            api.Bind: self.out.bind,
+            api.StopAttempt: self.out.stop_attempt,
+            api.Evict: self.out.evict,
+            api.Probe: self.out.probe,
+            api.Refuse: self.owed.refuse,
+            api.Fail: self.owed.fail,
+            api.SetTimer: lambda action: self.ground.at(action.at_us, self._timer, action.token),
+            api.Watch: lambda action: self.ground.emit(ev.WatchBoard()),
+            api.FetchList: lambda action: self.ground.emit(ev.WatchBoard()),
+            api.Log: lambda action: self.ground.emit(ev.Report("module", {"text": action.text})),
+        }
+
+    def start(self, now: int, known: Iterable[Notice]) -> list[ev.Action]:
+        """The first call of a life, with the notices that are known by then."""
+        self.ground.begin(now)
+        self.ground.feed(api.Started())
+        self._run()
+        for notice in known:
+            self.links.told(notice)
+            self._run()
+        self.links.start()
+        self.owed.start()
+        return self.ground.out
+
+    def handle(self, now: int, events: Iterable[ev.Event]) -> list[ev.Action]:
+        """Take events, and whatever has come due; return what is to be done, in order."""
+        self.ground.begin(now)
+        self._pass_time()
+        for event in events:
+            self._handlers[type(event)](event)
+            self._run()
+        return self.ground.out
+
+    def woke(self, now: int, events: Iterable[ev.Event]) -> list[ev.Action]:
+        """Take what came while the process stood still, before the time that has passed is felt.
+
+        Danger: timers that fell due meanwhile would give up attempts whose answers lie unread, and would send
+        set-ups to machines whose drain lies unread. What the board and machines said comes first, then time,
+        then owners.
+        """
+        self.ground.begin(now)
+        events = list(events)
+        told: list[ev.Event] = [e for e in events if not isinstance(e, ev.OWNERS)]
+        told.sort(key=lambda e: not isinstance(e, ev.BoardTold))
+        told += [e for e in events if isinstance(e, ev.OwnerLeft)]
+        for event in told:
+            self._handlers[type(event)](event)
+            self._run()
+        self._pass_time()
+        for event in events:
+            if isinstance(event, ev.OWNERS) and not isinstance(event, ev.OwnerLeft):
+                self._handlers[type(event)](event)
+                self._run()
+        return self.ground.out
+
+    def next_due(self) -> int | None:
+        """When a ``Due`` is wanted, or None."""
+        return self.ground.next_due()
+
+    @property
+    def counts(self) -> dict[str, int]:
+        return self.ground.counts
+
+    def _run(self) -> None:
+        """Let the module decide on what has been fed, and carry its actions out, until both are done."""
+        told = self.ground.told
+        while told:
+            for action in self.module.handle(self.ground.now, told.popleft()):
+                self._carriers[type(action)](action)
+
+    def _pass_time(self) -> None:
+        while (due := self.ground.pop_due()) is not None:
+            due.call(due.what)
+            self._run()
+
+    def _timer(self, token: int) -> None:
+        self.ground.feed(api.TimerFired(token))
--- /dev/null
+++ b/stairplank/platform/door.py
@@ -0,0 +1,108 @@
+"""What is taken at the door: a set-up checked from end to end before the module hears of it. No I/O, clock
+or state."""
+
+from __future__ import annotations
+
+import math
+import re
+from dataclasses import dataclass
+
+from .. import interface as api
+from ..planner import admission
+from ..tasks import TaskSpec
+from .messages import Message, is_id
+
+WAIT_MOST_US = 2**32 * 1000  # an owner's longest wait: what the form of set-ups with ``at`` has
+KEY_FORM = re.compile(r"[0-9a-f]{32}", re.ASCII)
+NUMBER_FORM = re.compile(r"[0-9]{1,7}(\.[0-9]{1,6})?", re.ASCII)
+BOUNDS = admission.Bounds(open_tasks=4096, owner_open=1024, attempts=32_768, wait_us=WAIT_MOST_US)
+
+
+class Invalid(Exception):
+    """The text names what is wrong."""
+
+
+@dataclass(frozen=True, slots=True)
+class SetUp:
+    """A set-up that may be taken."""
+
+    spec: TaskSpec
+    class_index: int
+    wait_us: int
+    key: str
+    idem: str
+    at: str  # the machine that holds it already, or nothing
+
+
+def checked(message: Message, client: str, settings: api.Settings) -> SetUp:
+    """Raises Invalid. Danger: the module computes with what it is told; a figure that is none, or a class
+    that is not there, would spoil what it believes of every machine."""
+    fields = message.fields
+    extras = _extras(fields.get("extras", ""))
+    if message.id == "0" * 16:
+        raise Invalid("no id")
+    if not message.body:
+        raise Invalid("no description")
+    name = fields.get("class", "")
+    index = next((i for i, c in enumerate(settings.classes) if c.name == name), -1)
+    left, key, idem, service = (fields.get("left", ""), fields.get("key", ""), fields.get("idem", ""), "")
+    service = extras.get("service", "")
+    if not left.isascii() or not left.isdigit() or len(left) > 10:
+        raise Invalid("no wait")
+    if not is_id(key) or not is_id(service):
+        raise Invalid("no name of the task or of its service")
+    if idem and not KEY_FORM.fullmatch(idem):
+        raise Invalid("a key that is none")
+    wait_us = int(left) * 1000
+    spec = TaskSpec(
+        owner=client,
+        key=int(key, 16),
+        task_class=name,
+        tenant="",
+        service=int(service, 16),
+        cores=_amount(extras.get("cores", "")),
+        memory=_amount(extras.get("memory", "")),
+        life_us=0,
+        again=fields.get("retry", "") not in ("", "0"),
+    )
+    fault = admission.invalid(spec, wait_us, BOUNDS, settings, ())
+    if fault is not None:
+        raise Invalid(f"{fault.field}: {fault.message}")
+    if settings.classes[index].effect is api.Effect.KEYED and not idem:
+        raise Invalid("no key, in a keyed class")
+    at = extras.get("at", "")
+    if len(at) > 200:
+        raise Invalid("a machine's name that is none")
+    return SetUp(spec, index, wait_us, key, idem, at)
+
+
+def _extras(text: str) -> dict[str, str]:
+    out: dict[str, str] = {}
+    for part in text.split(";"):
+        name, colon, value = part.partition(":")
+        if not colon or name in out:
+            raise Invalid("figures that cannot be read")
+        out[name] = value
+    return out
+
+
+def _amount(text: str) -> float:
+    if not NUMBER_FORM.fullmatch(text):
+        raise Invalid("an amount that is no number")
+    value = float(text)
+    if not math.isfinite(value):
+        raise Invalid("an amount that is no number")
+    return value
+
+
+def report_of(text: str, names: tuple[str, ...]) -> tuple[float, ...]:
+    """A load report's figures in the settings' order; none where one is missing or is no number."""
+    values: dict[str, float] = {}
+    for part in text.split(";"):
+        name, _, value = part.partition(":")
+        try:
+            values[name] = float(value)
+        except ValueError:
+            return ()
+    out = tuple(values.get(name, math.nan) for name in names)
+    return out if all(math.isfinite(v) for v in out) else ()
--- /dev/null
+++ b/stairplank/platform/events.py
@@ -0,0 +1,145 @@
+"""What the platform's core is fed and what it asks for. Times are microseconds on the planner's own clock.
+
+Connections, of owners and to machines, are numbers that nothing else of this life has.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from .board import Notice
+from .messages import Message
+
+# Events
+
+
+@dataclass(frozen=True, slots=True)
+class OwnerCame:
+    conn: int
+    client: str  # whose connection it is: the address it comes from
+
+
+@dataclass(frozen=True, slots=True)
+class OwnerSaid:
+    conn: int
+    message: Message
+
+
+@dataclass(frozen=True, slots=True)
+class OwnerLeft:
+    conn: int
+
+
+@dataclass(frozen=True, slots=True)
+class LinkUp:
+    link: int
+
+
+@dataclass(frozen=True, slots=True)
+class LinkFailed:
+    """A dial that came to nothing. ``refused``: nobody listens there."""
+
+    link: int
+    refused: bool
+
+
+@dataclass(frozen=True, slots=True)
+class LinkLost:
+    """``unsent``: ids of the messages of which not every byte was written."""
+
+    link: int
+    unsent: frozenset[str]
+
+
+@dataclass(frozen=True, slots=True)
+class MachineSaid:
+    link: int
+    message: Message
+
+
+@dataclass(frozen=True, slots=True)
+class BoardTold:
+    notice: Notice
+
+
+@dataclass(frozen=True, slots=True)
+class BoardLost:
+    pass
+
+
+@dataclass(frozen=True, slots=True)
+class StopAsked:
+    """The process is asked to end."""
+
+
+@dataclass(frozen=True, slots=True)
+class Due:
+    """Time has passed."""
+
+
+OWNERS = (OwnerCame, OwnerSaid, OwnerLeft, StopAsked, Due)
+Event = (
+    OwnerCame
+    | OwnerSaid
+    | OwnerLeft
+    | LinkUp
+    | LinkFailed
+    | LinkLost
+    | MachineSaid
+    | BoardTold
+    | BoardLost
+    | StopAsked
+    | Due
+)
+
+# Actions
+
+
+@dataclass(frozen=True, slots=True)
+class SayOwner:
+    conn: int
+    message: Message
+
+
+@dataclass(frozen=True, slots=True)
+class CloseOwner:
+    """Once what was said to it is written."""
+
+    conn: int
+    why: str
+
+
+@dataclass(frozen=True, slots=True)
+class Dial:
+    link: int
+    address: str
+
+
+@dataclass(frozen=True, slots=True)
+class SayMachine:
+    link: int
+    message: Message
+
+
+@dataclass(frozen=True, slots=True)
+class HangUp:
+    """Close; ``hard``: nothing written so far need arrive. No LinkLost follows."""
+
+    link: int
+    hard: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class WatchBoard:
+    """Make sure that the board is connected, now."""
+
+
+@dataclass(frozen=True, slots=True)
+class Report:
+    """For the log."""
+
+    event: str
+    fields: dict[str, object]
+
+
+Action = SayOwner | CloseOwner | Dial | SayMachine | HangUp | WatchBoard | Report
--- /dev/null
+++ b/stairplank/platform/links.py
@@ -0,0 +1,371 @@
+"""Connections to machines: a small pool each, and whether a machine is still there. No I/O or clock.
+
+Invariants (tests/platform/test_links.py):
+
+1. A set-up takes a connection with nothing else on it where there is one, else a new one, up to the pool's
+   bound: what spoils a connection takes few others along.
+2. A connection with a set-up open is not closed for idleness.
+3. A machine at which tasks stand has a connection, made anew every ``REFRESH_US``: a machine says on the
+   next one what got lost on an old one, and one that has vanished lets no new one come up.
+4. A machine is held to be dead only where dials fail for ``DEAD_US`` and nothing is heard of it meanwhile,
+   or where it refuses connections and none is up.
+5. Bounds: ``pool_most`` a machine, ``links_most`` in all, ``WORDS_MOST`` words kept for a machine out of
+   reach.
+
+Tables: ``machines``, ``links``.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from .. import interface as api
+from ..planner.ground import Ground
+from . import events as ev
+from .board import Listed, Notice
+from .messages import Message
+from .tables import Attempt, Link, Test
+
+LOOK_US = 100_000
+REFRESH_US = 2_500_000
+SPARE_US = 4_000_000  # a connection without use is closed then
+RETRY_US, RETRY_MOST_US = 100_000, 800_000  # between dials that failed
+DEAD_US = 2_500_000
+REFUSED_US = 300_000  # so long a machine refuses connections before what stood there is over
+GONE_US = 3_000_000  # after the list says so, a machine may still speak of its tasks
+WORDS_MOST = 1024
+POOL_LEAST, POOL_MOST = 2, 6
+
+
+class Out(Protocol):
+    def written(self, thing: Attempt | Test, link: int) -> None: ...
+    def not_written(self, thing: Attempt | Test) -> bool: ...
+    def unreachable(self, thing: Attempt | Test, result: api.Result = ...) -> None: ...
+    def broken(self, thing: Attempt | Test) -> None: ...
+    def machine_lost(self, machine: int, before: int | None = None) -> None: ...
+    def message_of(self, thing: Attempt | Test) -> Message: ...
+    def said(self, machine: int, link: int, message: Message) -> None: ...
+    def test(self, test: Test) -> None: ...
+
+
+@dataclass(slots=True, eq=False)
+class Machine:
+    id: int
+    name: str
+    address: str
+    launched: int
+    status: api.NodeStatus
+    links: dict[int, Link] = field(default_factory=dict)
+    waiting: deque[Attempt | Test] = field(default_factory=deque)
+    words: dict[str, Message] = field(default_factory=dict)
+    standing: int = 0
+    heard: int = 0
+    dial_at: int = 0
+    fails: int = 0
+    failing_since: int = 0
+    refused_since: int = 0
+    gone_at: int = 0
+    asked_at: int = 0
+
+
+class Links:
+    def __init__(self, ground: Ground, sockets: int, dial_timeout_us: int) -> None:
+        self.ground = ground
+        self.out: Out
+        self.machines: dict[int, Machine] = {}
+        self.names: dict[str, int] = {}
+        self.links: dict[int, Link] = {}
+        self.links_most = sockets // 3
+        self.dial_timeout_us = dial_timeout_us
+
+    def start(self) -> None:
+        self.ground.at(self.ground.now + LOOK_US, self._look)
+
+    # Questions
+
+    def named(self, name: str) -> int | None:
+        return self.names.get(name)
+
+    def is_open_to(self, machine: int) -> bool:
+        known = self.machines.get(machine)
+        return known is not None and known.status is api.NodeStatus.READY
+
+    @property
+    def pool_most(self) -> int:
+        return max(POOL_LEAST, min(POOL_MOST, self.links_most // max(1, len(self.machines))))
+
+    # The list
+
+    def told(self, notice: Notice) -> None:
+        if notice.whole:
+            listed = {m.entry.id for m in notice.machines}
+            for missing in [m for m in self.machines.values() if m.id not in listed]:
+                self._gone(missing)
+        for row in notice.machines:
+            self._listed(row)
+        kind = api.ListKind.FULL if notice.whole else api.ListKind.CHANGES
+        self.ground.feed(api.NodeList(kind, tuple(m.entry for m in notice.machines)))
+
+    def _listed(self, row: Listed) -> None:
+        entry = row.entry
+        machine = self.machines.get(entry.id)
+        if entry.status is api.NodeStatus.GONE:
+            if machine is not None:
+                self._gone(machine)
+            return
+        if machine is None:
+            machine = Machine(entry.id, row.name, row.address, entry.launched_us, entry.status)
+            self.machines[entry.id] = machine
+            self.names[row.name] = entry.id
+        elif entry.launched_us > machine.launched:
+            machine.launched = entry.launched_us
+            self.out.machine_lost(machine.id, before=entry.launched_us)
+        machine.status = entry.status
+        machine.gone_at = 0
+        if machine.address != row.address:
+            machine.address = row.address
+            for link in list(machine.links.values()):
+                self._break(link)
+        if entry.status is not api.NodeStatus.READY:
+            self._drop_waiting(machine)
+
+    def _gone(self, machine: Machine) -> None:
+        machine.status = api.NodeStatus.GONE
+        if not machine.gone_at:
+            machine.gone_at = self.ground.now
+        self._drop_waiting(machine)
+
+    def _drop_waiting(self, machine: Machine) -> None:
+        """Danger: a set-up that waited for its connection would leave after the word of the drain."""
+        waiting, machine.waiting = machine.waiting, deque()
+        for thing in waiting:
+            if isinstance(thing, Test) and machine.status is api.NodeStatus.DRAINING:
+                machine.waiting.append(thing)
+            else:
+                self.out.unreachable(thing, api.Result.NOT_SENT)
+
+    # Sending
+
+    def send(self, thing: Attempt | Test) -> None:
+        machine = self.machines.get(thing.machine)
+        if machine is None or machine.gone_at:
+            self.out.unreachable(thing)
+            return
+        ups = [k for k in machine.links.values() if k.up and not k.suspect]
+        best = min(ups, key=lambda k: (len(k.open), -k.opened), default=None)
+        if best is not None and not best.open:
+            self._write(best, thing)
+            return
+        dialling = sum(1 for k in machine.links.values() if not k.up)
+        if dialling <= len(machine.waiting) and self._may_dial(machine):
+            self._dial(machine)
+            dialling += 1
+        if dialling > len(machine.waiting) or best is None:
+            machine.waiting.append(thing)
+            if not dialling:
+                self._free_one(machine)
+        else:
+            self._write(best, thing)
+
+    def _may_dial(self, machine: Machine) -> bool:
+        return len(machine.links) < self.pool_most and len(self.links) < self.links_most
+
+    def _free_one(self, machine: Machine) -> None:
+        """No connection of use and no room for another: the oldest suspect goes, or the wait goes on."""
+        suspects = [k for k in machine.links.values() if k.suspect]
+        if suspects:
+            self._break(min(suspects, key=lambda k: k.opened))
+            self._dial(machine)
+        elif not machine.links:
+            spare = [k for k in self.links.values() if k.up and not k.open]
+            if spare:
+                self._break(min(spare, key=lambda k: k.used))
+            self._dial(machine)
+
+    def _write(self, link: Link, thing: Attempt | Test) -> None:
+        link.open[thing.id] = thing
+        link.used = self.ground.now
+        self.out.written(thing, link.number)
+        self.ground.emit(ev.SayMachine(link.number, self.out.message_of(thing)))
+
+    def done(self, thing: Attempt | Test, *, silent: bool = False) -> None:
+        """Nothing more is awaited for it. ``silent``: its answer did not come."""
+        link = self.links.get(thing.link)
+        if link is None or link.open.get(thing.id) is not thing:
+            machine = self.machines.get(thing.machine)
+            if machine is not None and not thing.link and thing in machine.waiting:
+                machine.waiting.remove(thing)
+            return
+        del link.open[thing.id]
+        link.used = self.ground.now
+        # Danger: an answer that stopped short leaves a connection on which nothing more will come.
+        link.suspect |= silent
+        if link.suspect and not link.open:
+            self._break(link)
+
+    def say(self, machine: int, message: Message, link: int = 0, *, keep: bool = False) -> None:
+        """A word that awaits nothing: on that connection, or, with ``keep``, on any, or on the next."""
+        known = self.machines.get(machine)
+        if known is None:
+            return
+        given = known.links.get(link)
+        if given is not None and given.up:
+            self.ground.emit(ev.SayMachine(link, message))
+            return
+        if link and not keep:
+            return  # the closing of its connection has given it up already
+        up = next((k for k in known.links.values() if k.up and not k.suspect), None)
+        if up is not None:
+            self.ground.emit(ev.SayMachine(up.number, message))
+        elif len(known.words) < WORDS_MOST:
+            known.words[message.id] = message
+
+    def stands(self, machine: int, by: int) -> None:
+        known = self.machines.get(machine)
+        if known is not None:
+            known.standing += by
+
+    # Words of connections
+
+    def came_up(self, event: ev.LinkUp) -> None:
+        link = self.links.get(event.link)
+        if link is None:
+            return
+        link.up, link.opened = True, self.ground.now
+        machine = self.machines[link.machine]
+        self._alive(machine)
+        words, machine.words = machine.words, {}
+        for message in words.values():
+            self.ground.emit(ev.SayMachine(link.number, message))
+        if machine.waiting:
+            self._write(link, machine.waiting.popleft())
+
+    def _alive(self, machine: Machine) -> None:
+        machine.heard = self.ground.now
+        machine.fails = machine.failing_since = machine.refused_since = machine.dial_at = 0
+
+    def failed(self, event: ev.LinkFailed) -> None:
+        link = self.links.get(event.link)
+        if link is None:
+            return
+        machine = self.machines[link.machine]
+        self._drop(link)
+        now = self.ground.now
+        self.ground.count("dials_refused" if event.refused else "dials_silent")
+        machine.fails += 1
+        machine.dial_at = now + min(RETRY_US << min(machine.fails - 1, 4), RETRY_MOST_US)
+        machine.failing_since = machine.failing_since or now
+        machine.refused_since = (machine.refused_since or now) if event.refused else 0
+        best = min(
+            (k for k in machine.links.values() if k.up and not k.suspect),
+            key=lambda k: len(k.open),
+            default=None,
+        )
+        if machine.waiting and (best is not None or all(k.up for k in machine.links.values())):
+            thing = machine.waiting.popleft()
+            if best is not None:
+                self._write(best, thing)
+            else:
+                self.out.unreachable(thing)
+
+    def lost(self, event: ev.LinkLost) -> None:
+        link = self.links.get(event.link)
+        if link is not None:
+            self._break(link, event.unsent)
+
+    def said(self, event: ev.MachineSaid) -> None:
+        link = self.links.get(event.link)
+        if link is None:
+            return
+        machine = self.machines[link.machine]
+        machine.heard = link.used = self.ground.now
+        machine.failing_since = machine.refused_since = 0
+        self.out.said(machine.id, link.number, event.message)
+
+    # Dialling and closing
+
+    def _dial(self, machine: Machine) -> None:
+        link = Link(self.ground.number(), machine.id, self.ground.now)
+        self.links[link.number] = machine.links[link.number] = link
+        self.ground.count("dials")
+        self.ground.emit(ev.Dial(link.number, machine.address))
+
+    def _drop(self, link: Link) -> None:
+        self.links.pop(link.number, None)
+        machine = self.machines.get(link.machine)
+        if machine is not None:
+            machine.links.pop(link.number, None)
+
+    def _break(self, link: Link, unsent: frozenset[str] = frozenset()) -> None:
+        """Close it, if it is not closed yet. What was written whole on it is broken; the rest goes again."""
+        self.ground.emit(ev.HangUp(link.number))
+        self._drop(link)
+        things, link.open = list(link.open.values()), {}
+        again = []
+        for thing in things:
+            if thing.id in unsent and self.out.not_written(thing):
+                again.append(thing)
+            else:
+                self.out.broken(thing)
+        for thing in again:
+            if self.ground.now < thing.began + self.dial_timeout_us:
+                self.send(thing)
+            else:
+                self.out.unreachable(thing)
+
+    def _look(self, _: None) -> None:
+        self.ground.at(self.ground.now + LOOK_US, self._look)
+        for machine in list(self.machines.values()):
+            self._look_at(machine)
+
+    def _look_at(self, machine: Machine) -> None:
+        now = self.ground.now
+        if machine.gone_at:
+            if not machine.standing or now > machine.gone_at + GONE_US:
+                self._leave(machine)
+            return
+        ups = [k for k in machine.links.values() if k.up]
+        dialling = len(machine.links) - len(ups)
+        newest = max((k.opened for k in ups), default=0)
+        if machine.standing and not dialling and now >= machine.dial_at and now - newest > REFRESH_US:
+            if not self._may_dial(machine):
+                idle = [k for k in ups if not k.open]
+                if idle:
+                    self._break(min(idle, key=lambda k: k.opened))
+            if self._may_dial(machine) or not ups:
+                self._dial(machine)
+        elif machine.waiting and not dialling and now >= machine.dial_at:
+            self._dial(machine)
+        for link in ups:
+            spare = link.opened < newest or not machine.standing
+            if not link.open and spare and now - max(link.used, link.opened) > SPARE_US:
+                self._break(link)
+        if machine.failing_since:
+            self._doubt(machine, now, bool(ups))
+
+    def _doubt(self, machine: Machine, now: int, up: bool) -> None:
+        """Dials fail. Danger: a machine may let no new connection come up and still run all it has."""
+        dead = now - machine.failing_since > DEAD_US
+        refused = machine.refused_since and now - machine.refused_since > REFUSED_US and not up
+        if refused or dead:
+            self.ground.emit(
+                ev.Report("machine lost", {"machine": machine.name, "standing": machine.standing})
+            )
+            for link in list(machine.links.values()):
+                self._break(link)
+            self.out.machine_lost(machine.id)
+            machine.failing_since = machine.refused_since = 0
+        elif up and now - machine.asked_at > DEAD_US // 2:
+            machine.asked_at = now
+            self.out.test(Test(f"{self.ground.number() | 1 << 63:016x}", machine.id, now, asked=False))
+
+    def _leave(self, machine: Machine) -> None:
+        """It is gone from the list, and has had its time to say what became of its tasks."""
+        self.out.machine_lost(machine.id)
+        for link in list(machine.links.values()):
+            self._break(link)
+        del self.machines[machine.id]
+        if self.names.get(machine.name) == machine.id:
+            del self.names[machine.name]
--- /dev/null
+++ b/stairplank/platform/out.py
@@ -0,0 +1,386 @@
+"""The second table: what is out at machines. No I/O or clock.
+
+Invariants (tests/platform/test_core.py):
+
+1. Each bind of the module gets one outcome. One that proves that nothing ran is told only where no whole
+   message left, or where the machine said so: never after a whole write on a connection that broke or was
+   spoilt.
+2. A task has at most one attempt that is waiting, out or standing: an earlier one is given up before
+   another goes.
+3. Nothing leaves for a machine that is known to drain or to be gone.
+4. Of a given-up attempt the machine may still say that it stands. By its class it is told to end, or left
+   standing for its owner to find; a copy beside one that stands is always told to end.
+5. A machine's second word on a task changes nothing.
+
+Tables: ``at`` by machine and id (leftovers included, for ``LEFTOVER_US``, at most ``LEFTOVERS_MOST``);
+``tests`` by id.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import Protocol
+
+from .. import interface as api
+from ..planner import leftovers
+from ..planner.ground import Ground
+from ..planner.leftovers import Copy, Fate
+from . import door
+from .messages import Cause, Kind, Message
+from .tables import ATTEMPT, Attempt, Stage, Task, Test
+
+LEFTOVER_US = 30_000_000
+LEFTOVERS_MOST = 8192
+OUT_MOST = 4096  # attempts under way: set-ups are turned away beyond
+TEST_US = 500_000  # a test is answered by then, or has failed
+REASONS = {
+    "nc": api.Reason.NO_CORES,
+    "nm": api.Reason.NO_MEMORY,
+    "nq": api.Reason.QUEUE_FULL,
+    "nh": api.Reason.NOT_HERE,
+    "ev": api.Reason.EVICTED,
+    "pre": api.Reason.PUSHED_OUT,
+    "dr": api.Reason.SENT_AWAY,
+}
+NOTES = {
+    "live": api.NoteKind.RUNNING,
+    "c": api.NoteKind.CORES_USED,
+    "m": api.NoteKind.MEMORY_USED,
+    "s": api.NoteKind.SERVED_SHARE,
+    "p": api.NoteKind.NODE_MEMORY_SHARE,
+}
+_UNDER_WAY = (Stage.WAITING, Stage.OUT)
+
+
+class Links(Protocol):
+    def send(self, thing: Attempt | Test) -> None: ...
+    def say(self, machine: int, message: Message, link: int = 0, *, keep: bool = False) -> None: ...
+    def done(self, thing: Attempt | Test, *, silent: bool = False) -> None: ...
+    def is_open_to(self, machine: int) -> bool: ...
+    def stands(self, machine: int, by: int) -> None: ...
+    def named(self, name: str) -> int | None: ...
+
+
+class Owed(Protocol):
+    numbers: dict[int, Task]
+
+    def stands(self, task: Task, body: str) -> None: ...
+    def ended(self, task: Task, cause: int | None) -> None: ...
+    def moved(self, task: Task) -> None: ...
+
+
+class Out:
+    def __init__(self, ground: Ground, settings: api.Settings, fields: tuple[str, ...]) -> None:
+        self.ground = ground
+        self.settings = settings
+        self.fields = fields
+        self.links: Links
+        self.owed: Owed
+        self.at: dict[tuple[int, str], Attempt] = {}
+        self.tests: dict[str, Test] = {}
+        self.under_way = 0
+        self._leftovers: deque[Attempt] = deque()
+
+    def is_full(self) -> bool:
+        return self.under_way >= OUT_MOST
+
+    def machine_named(self, name: str) -> int | None:
+        return self.links.named(name)
+
+    # The module's wishes
+
+    def bind(self, action: api.Bind) -> None:
+        task = self.owed.numbers.get(action.task)
+        if task is None:
+            return
+        now = self.ground.now
+        due = min(now + action.timeout_us, task.expires) if action.timeout_us else task.expires
+        attempt = Attempt(task, task.shots, action.node, now, due)
+        task.shots += 1
+        if task.out is not None or task.fate is not Fate.OPEN:
+            self._told(attempt, api.Result.NOT_SENT)
+            return
+        if not self.links.is_open_to(action.node) or now >= due:
+            self._told(attempt, api.Result.NOT_SENT)
+            return
+        task.out = attempt
+        old = self.at.get((action.node, task.id))
+        if old is not None:
+            self._forget(old)
+        self.at[action.node, task.id] = attempt
+        self.under_way += 1
+        self.ground.count("binds")
+        self.ground.at(due, self._timed_out, attempt)
+        self.links.send(attempt)
+
+    def stop_attempt(self, action: api.StopAttempt) -> None:
+        task = self.owed.numbers.get(action.task)
+        attempt = task.out if task is not None else None
+        if attempt is not None and attempt.shot == action.attempt and attempt.stage in _UNDER_WAY:
+            self._give_up(attempt, api.Result.CANCELLED)
+
+    def evict(self, action: api.Evict) -> None:
+        task = self.owed.numbers.get(action.task)
+        attempt = task.out if task is not None else None
+        if task is not None and attempt is not None and attempt.stage is Stage.STANDING:
+            self._cut(attempt, Cause.CANCELLED)
+            self.owed.moved(task)
+            self._told(attempt, api.Result.CANCELLED, closed=True)
+
+    def probe(self, action: api.Probe) -> None:
+        test = Test(f"{self.ground.number() | 1 << 63:016x}", action.node, self.ground.now)
+        self.ground.count("probes")
+        self.test(test)
+
+    def test(self, test: Test) -> None:
+        self.tests[test.id] = test
+        self.ground.at(test.began + TEST_US, self._test_over, test)
+        self.links.send(test)
+
+    def message_of(self, thing: Attempt | Test) -> Message:
+        """What is written for it, now."""
+        if isinstance(thing, Test):
+            return Message(Kind.TEST, thing.id, cause=0)
+        set_up = thing.task.set_up
+        left = max(1, (thing.due - self.ground.now) // 1000)
+        fields = {"class": set_up.spec.task_class, "key": set_up.key, "left": str(left)}
+        if set_up.idem:
+            fields["idem"] = set_up.idem
+        return Message(Kind.SET_UP, thing.id, fields, body=thing.task.body)
+
+    # Owners' wishes
+
+    def withdrawn(self, task: Task) -> None:
+        """The task got its answer, or its owner has gone: what is under way is called back."""
+        if task.out is not None and task.out.stage in _UNDER_WAY:
+            self._give_up(task.out, api.Result.CANCELLED)
+
+    def release(self, task: Task) -> None:
+        """Its owner ends a task that stands."""
+        attempt = task.out
+        if attempt is not None and attempt.stage is Stage.STANDING:
+            self._cut(attempt, Cause.CANCELLED)
+            self.owed.ended(task, None)
+            self._told(attempt, api.Result.CANCELLED, closed=True)
+
+    def adopt(self, task: Task, machine: int) -> None:
+        old = self.at.get((machine, task.id))
+        if old is not None:
+            self._forget(old)
+        attempt = Attempt(task, 0, machine, self.ground.now, task.expires, Stage.STANDING)
+        task.out = self.at[machine, task.id] = attempt
+        self.links.stands(machine, 1)
+
+    # Words of the links
+
+    def written(self, thing: Attempt | Test, link: int) -> None:
+        thing.link = link
+        if isinstance(thing, Attempt):
+            thing.stage = self.ground.step(ATTEMPT, thing.stage, "written")
+
+    def not_written(self, thing: Attempt | Test) -> bool:
+        """Not every byte of it left: whether it is to be sent again."""
+        thing.link = 0
+        if isinstance(thing, Test):
+            return thing.id in self.tests
+        if thing.stage is not Stage.OUT:
+            return False
+        thing.stage = self.ground.step(ATTEMPT, thing.stage, "not written")
+        return True
+
+    def unreachable(self, thing: Attempt | Test, result: api.Result = api.Result.UNREACHABLE) -> None:
+        """It never left."""
+        if isinstance(thing, Test):
+            self._tested(thing, False)
+        elif thing.stage is Stage.WAITING:
+            self._over(thing, result)
+
+    def broken(self, thing: Attempt | Test) -> None:
+        """Its connection is no more, after a whole write. Danger: the machine may have taken it all the
+        same."""
+        if isinstance(thing, Test):
+            self._tested(thing, False)
+        elif thing.stage is Stage.OUT:
+            self._leave_over(thing)
+            self._told(thing, api.Result.LOST)
+
+    def machine_lost(self, machine: int, before: int | None = None) -> None:
+        """It died, left or started anew (``before``): what stood there is over."""
+        for attempt in [a for (m, _), a in self.at.items() if m == machine]:
+            if before is not None and attempt.began >= before:
+                continue
+            if attempt.stage is Stage.STANDING:
+                self.ground.count("lost_with_machine")
+                self._leave_over(attempt, standing=True)
+                self.owed.ended(attempt.task, int(Cause.RESET))
+                self._told(attempt, api.Result.LOST, closed=True)
+
+    def said(self, machine: int, link: int, message: Message) -> None:
+        if message.kind is Kind.TESTED:
+            test = self.tests.get(message.id)
+            if test is not None and test.machine == machine:
+                self._tested(test, message.cause == 1, self._report(message))
+            return
+        attempt = self.at.get((machine, message.id))
+        if message.kind is Kind.RELEASE:
+            self.links.say(machine, Message(Kind.HEARD, message.id), link)
+        if attempt is None:
+            self.ground.count("unknown_words")
+            return
+        match message.kind:
+            case Kind.ANSWER:
+                self._answered(attempt, message, link)
+            case Kind.RELEASE:
+                self._released(attempt, message)
+            case Kind.NOTE if attempt.stage is Stage.STANDING:
+                self._noted(attempt, message)
+
+    # What becomes of an attempt
+
+    def _answered(self, attempt: Attempt, message: Message, link: int) -> None:
+        if attempt.stage is Stage.OUT:
+            self._not_under_way(attempt)
+            attempt.stage = self.ground.step(ATTEMPT, attempt.stage, "stands")
+            self.links.stands(attempt.machine, 1)
+            task = attempt.task
+            self.owed.stands(task, message.body or "")
+            took = self.ground.now - attempt.began
+            self.ground.feed(api.Placed(task.number, attempt.shot, attempt.machine, took))
+        elif attempt.stage is Stage.VOID:
+            effect = self.settings.classes[attempt.task.set_up.class_index].effect
+            word = leftovers.on_word(effect, attempt.task.fate)
+            self.ground.count("leftover_" + word.value)
+            if word is Copy.STOP:
+                self._cut(attempt, Cause.CANCELLED, link)
+
+    def _released(self, attempt: Attempt, message: Message) -> None:
+        cause, reason = message.cause or 0, REASONS.get(message.fields.get("note", ""), api.Reason.UNTOLD)
+        if attempt.stage is Stage.STANDING:
+            result = {
+                int(Cause.ENDED): api.Result.FINISHED,
+                int(Cause.CANCELLED): api.Result.CANCELLED,
+            }.get(cause, api.Result.LOST)
+            self.links.stands(attempt.machine, -1)
+            self._end(attempt)
+            self.owed.ended(attempt.task, cause)
+            self._told(attempt, result, reason, self._report(message), closed=True)
+        elif attempt.stage is Stage.OUT:
+            result = {
+                int(Cause.FULL): api.Result.REFUSED,
+                int(Cause.ERROR): api.Result.ERROR,
+                int(Cause.MOOT): api.Result.NOT_SENT,
+            }.get(cause, api.Result.LOST)
+            self.ground.count("ended_" + result.value)
+            self._over(attempt, result, reason, self._report(message))
+        elif attempt.stage in (Stage.VOID, Stage.CUT):
+            self._forget(attempt)
+
+    def _noted(self, attempt: Attempt, message: Message) -> None:
+        kind = NOTES.get(message.fields.get("note", ""))
+        level = door.report_of("v:" + message.fields.get("value", "0"), ("v",))
+        if kind is not None and level:
+            self.ground.feed(api.Note(attempt.task.number, attempt.shot, attempt.machine, kind, level[0]))
+
+    def _timed_out(self, attempt: Attempt) -> None:
+        if attempt.stage in _UNDER_WAY:
+            self.ground.count("ended_timeout")
+            self._give_up(attempt, api.Result.TIMEOUT)
+
+    def _give_up(self, attempt: Attempt, result: api.Result) -> None:
+        """Call it back. The machine may have taken it, or take it still."""
+        if attempt.stage is Stage.WAITING:
+            self._over(attempt, api.Result.NOT_SENT)
+            return
+        link = attempt.link
+        self.links.done(attempt, silent=result is api.Result.TIMEOUT)
+        self.links.say(attempt.machine, Message(Kind.RELEASE, attempt.id, cause=int(Cause.ENDED)), link)
+        self._leave_over(attempt)
+        self._told(attempt, result)
+
+    def _cut(self, attempt: Attempt, cause: Cause, link: int = 0) -> None:
+        """Tell the machine to end what stands there."""
+        if attempt.stage is Stage.STANDING:
+            self.links.stands(attempt.machine, -1)
+            self._keep(attempt)
+        attempt.stage = self.ground.step(ATTEMPT, attempt.stage, "released")
+        message = Message(Kind.RELEASE, attempt.id, cause=int(cause))
+        self.links.say(attempt.machine, message, link, keep=True)
+
+    def _leave_over(self, attempt: Attempt, standing: bool = False) -> None:
+        if standing:
+            # Its machine is out of reach: if it comes back with the task, the task must end there.
+            self._cut(attempt, Cause.CANCELLED)
+            return
+        self._not_under_way(attempt)
+        attempt.stage = self.ground.step(ATTEMPT, attempt.stage, "given up")
+        self._keep(attempt)
+
+    def _keep(self, attempt: Attempt) -> None:
+        attempt.until = self.ground.now + LEFTOVER_US
+        self._leftovers.append(attempt)
+        while self._leftovers and (
+            self._leftovers[0].until <= self.ground.now or len(self._leftovers) > LEFTOVERS_MOST
+        ):
+            self._forget(self._leftovers.popleft())
+
+    def _forget(self, attempt: Attempt) -> None:
+        if attempt.stage in (Stage.VOID, Stage.CUT):
+            self._end(attempt)
+
+    def _over(
+        self,
+        attempt: Attempt,
+        result: api.Result,
+        reason: api.Reason = api.Reason.UNTOLD,
+        report: tuple[float, ...] = (),
+    ) -> None:
+        self.links.done(attempt)
+        self._not_under_way(attempt)
+        self._end(attempt)
+        self._told(attempt, result, reason, report)
+
+    def _not_under_way(self, attempt: Attempt) -> None:
+        self.under_way -= 1
+        if attempt.stage is Stage.OUT:
+            self.links.done(attempt)
+
+    def _end(self, attempt: Attempt) -> None:
+        attempt.stage = self.ground.step(ATTEMPT, attempt.stage, "over")
+        if self.at.get((attempt.machine, attempt.id)) is attempt:
+            del self.at[attempt.machine, attempt.id]
+
+    def _told(
+        self,
+        attempt: Attempt,
+        result: api.Result,
+        reason: api.Reason = api.Reason.UNTOLD,
+        report: tuple[float, ...] = (),
+        closed: bool = False,
+    ) -> None:
+        task = attempt.task
+        if task.out is attempt:
+            task.out = None
+        closed = closed or task.fate is not Fate.OPEN
+        took = self.ground.now - attempt.began
+        self.ground.feed(
+            api.Outcome(task.number, attempt.shot, attempt.machine, result, closed, reason, took, report)
+        )
+
+    # Tests
+
+    def _tested(self, test: Test, ok: bool, report: tuple[float, ...] = ()) -> None:
+        if self.tests.pop(test.id, None) is None:
+            return
+        self.links.done(test)
+        if test.asked:
+            took = self.ground.now - test.began
+            self.ground.feed(api.Probed(test.machine, ok, took, report if ok else ()))
+
+    def _test_over(self, test: Test) -> None:
+        if test.id in self.tests:
+            self.links.done(test, silent=True)
+            self._tested(test, False)
+
+    def _report(self, message: Message) -> tuple[float, ...]:
+        load = message.fields.get("load", "")
+        return door.report_of(load, self.fields) if load else ()
--- /dev/null
+++ b/stairplank/platform/owed.py
@@ -0,0 +1,417 @@
+"""The first table: what owners are owed. No I/O or clock.
+
+Invariants (tests/platform/test_core.py):
+
+1. A task that was taken gets one answer: it stands, refused, or failed; none once its owner has given it up
+   or its connection has gone.
+2. A task that stands belongs to no connection. Its one release goes out on its set-up's connection, else on
+   another of that client's, else it is kept for the next.
+3. ``tasks`` has the open and the standing ones, ``open`` of a connection those of its own that are open;
+   what is over is in neither.
+4. An id that is open or stands is not taken again, and whoever sends it again does not end the first one's
+   wait.
+5. Every table is bounded: tasks and those of one client by ``door.BOUNDS``, connections by the service, kept
+   releases by number and age.
+
+Tables: ``tasks`` by id, ``numbers`` by the module's number, ``conns``, ``clients``, ``kept``.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from .. import interface as api
+from ..planner import admission
+from ..planner.ground import Ground
+from ..planner.leftovers import Fate
+from . import door
+from . import events as ev
+from .messages import Cause, Kind, Message
+from .tables import TASK, Task, TaskState
+
+SILENT_US = 2_000_000  # a connection that has said nothing worth a word is closed then
+IDLE_US = 6_000_000  # one with nothing under way; owners close theirs after 4 s
+SWEEP_US = 250_000
+UNHEARD_US = 1_500_000  # so long a release may be on its way when its connection breaks
+UNHEARD_MOST = 256  # of one connection
+KEPT_MOST, KEPT_US = 4096, 60_000_000
+COMPLAINTS_MOST = 16  # refusals of unusable messages on a connection before it is closed
+ANSWER_MARGIN_US = 30_000  # the module's deadline lies so much before the owner's: the answer has a way to go
+LEAVING_US = 700_000  # so long after SIGTERM set-ups are taken
+ADOPTED_US = 3_600_000_000  # an adopted task of which no machine said a word is forgotten
+
+
+class Out(Protocol):
+    def machine_named(self, name: str) -> int | None: ...
+    def withdrawn(self, task: Task) -> None: ...
+    def release(self, task: Task) -> None: ...
+    def adopt(self, task: Task, machine: int) -> None: ...
+    def is_full(self) -> bool: ...
+
+
+@dataclass(slots=True)
+class Conn:
+    number: int
+    client: str
+    came: int
+    said: int = 0  # when it last said something that could be used
+    open: dict[str, None] = field(default_factory=dict)
+    standing: int = 0
+    complaints: int = 0
+    closing: bool = False
+    unheard: deque[tuple[int, Message]] = field(default_factory=deque)
+
+
+class Owed:
+    def __init__(self, ground: Ground, settings: api.Settings) -> None:
+        self.ground = ground
+        self.settings = settings
+        self.out: Out
+        self.tasks: dict[str, Task] = {}
+        self.numbers: dict[int, Task] = {}
+        self.conns: dict[int, Conn] = {}
+        self.clients: dict[str, dict[int, None]] = {}
+        self.kept: deque[tuple[int, str, Message]] = deque()
+        self.open_tasks = 0
+        self.open_of: dict[str, int] = {}  # client: tasks of it that are open
+        self.ready = False
+        self.leaving_at = 0
+        self._spoke: Conn | None = None
+
+    def start(self) -> None:
+        self.ready = True
+        self.ground.at(self.ground.now + SWEEP_US, self._sweep)
+
+    # Connections
+
+    def came(self, event: ev.OwnerCame) -> None:
+        conn = Conn(event.conn, event.client, self.ground.now)
+        self.conns[event.conn] = conn
+        self.clients.setdefault(event.client, {})[event.conn] = None
+        if self.kept:
+            self._hand_over(conn)
+
+    def left(self, event: ev.OwnerLeft) -> None:
+        conn = self.conns.pop(event.conn, None)
+        if conn is None:
+            return
+        others = self.clients.get(conn.client, {})
+        others.pop(conn.number, None)
+        if not others:
+            self.clients.pop(conn.client, None)
+        for id in list(conn.open):
+            self._withdraw(self.tasks[id])
+        # Danger: a release that was written as the connection broke was not heard, and its task
+        # stays up there.
+        for at, message in conn.unheard:
+            if at > self.ground.now - UNHEARD_US:
+                self._release(0, conn.client, message)
+
+    def _hand_over(self, conn: Conn) -> None:
+        still: deque[tuple[int, str, Message]] = deque()
+        for at, client, message in self.kept:
+            if client == conn.client:
+                self._say_release(conn, message)
+            else:
+                still.append((at, client, message))
+        self.kept = still
+
+    def _sweep(self, _: None) -> None:
+        now = self.ground.now
+        self.ground.at(now + SWEEP_US, self._sweep)
+        while self.kept and (self.kept[0][0] < now - KEPT_US or len(self.kept) > KEPT_MOST):
+            self.kept.popleft()
+            self.ground.count("releases_dropped")
+        for conn in list(self.conns.values()):
+            while conn.unheard and conn.unheard[0][0] < now - UNHEARD_US:
+                conn.unheard.popleft()
+            if conn.open or conn.closing:
+                continue
+            # Danger: connections that say nothing, or nothing of use, would take all descriptors.
+            if not conn.said and conn.came < now - SILENT_US:
+                self._close(conn, "silent")
+            elif conn.said and not conn.standing and conn.said < now - IDLE_US:
+                self._close(conn, "idle")
+
+    def _close(self, conn: Conn, why: str) -> None:
+        conn.closing = True
+        self.ground.count("closed_" + why)
+        self.ground.emit(ev.CloseOwner(conn.number, why))
+
+    def spare(self) -> int | None:
+        """The connection that can best be done without: nothing under way, longest without a word of use."""
+        idle = [c for c in self.conns.values() if not c.open and not c.closing]
+        if not idle:
+            return None
+        conn = min(idle, key=lambda c: (c.standing > 0, c.said, c.came))
+        conn.closing = True
+        return conn.number
+
+    # What owners say
+
+    def said(self, event: ev.OwnerSaid) -> None:
+        conn = self.conns.get(event.conn)
+        if conn is None or conn.closing:
+            return
+        message = event.message
+        match message.kind:
+            case Kind.SET_UP:
+                self._asked(conn, message)
+            case Kind.RELEASE | Kind.MOVE:
+                self._given_up(conn, message)
+            case Kind.TEST:
+                conn.said = self.ground.now
+                cause = 1 if self.ready else 0
+                self.ground.emit(ev.SayOwner(conn.number, Message(Kind.TESTED, message.id, cause=cause)))
+            case Kind.HEARD:
+                if conn.unheard and message.id in (m.id for _, m in conn.unheard):
+                    conn.unheard = deque(u for u in conn.unheard if u[1].id != message.id)
+                elif not conn.said:
+                    self._useless(conn)
+            case Kind.NOTE if message.id in self.tasks:
+                conn.said = self.ground.now
+            case _:
+                self._useless(conn)
+
+    def _useless(self, conn: Conn) -> None:
+        """A word that means nothing here. Danger: who sends nothing else is owed a close; a good owner, whose
+        word crossed with ours, must not lose what it has open."""
+        conn.complaints += 1
+        if not conn.open and (not conn.said or conn.complaints > COMPLAINTS_MOST):
+            self._close(conn, "useless")
+
+    def _complain(self, conn: Conn, id: str, cause: Cause, why: str, after_us: int = 0) -> None:
+        self.ground.count("turned_away_" + why)
+        fields = {"wait": str(max(1, after_us // 1000))} if after_us else {}
+        self.ground.emit(ev.SayOwner(conn.number, Message(Kind.RELEASE, id, fields, int(cause))))
+        conn.complaints += 1
+        if conn.complaints > COMPLAINTS_MOST and not conn.open and not conn.said:
+            self._close(conn, "useless")
+
+    def _asked(self, conn: Conn, message: Message) -> None:
+        try:
+            set_up = door.checked(message, conn.client, self.settings)
+        except door.Invalid:
+            self._complain(conn, message.id, Cause.INVALID, "invalid")
+            return
+        known = self.tasks.get(message.id)
+        if known is not None:
+            self._again(conn, known, set_up, message)
+            return
+        if set_up.at:
+            conn.said = self.ground.now
+            self._adopt(conn, set_up, message)
+            return
+        full = admission.no_room(
+            self.open_tasks, self.open_of.get(conn.client, 0), len(self.tasks), door.BOUNDS
+        )
+        late = self.leaving_at and self.ground.now > self.leaving_at + LEAVING_US
+        if full is not None or late or self.out.is_full():
+            self._complain(conn, message.id, Cause.BUSY, "full", admission.BUSY_RETRY_US)
+            return
+        conn.said = self.ground.now
+        now, margin = self.ground.now, min(ANSWER_MARGIN_US, set_up.wait_us // 10)
+        task = Task(
+            self.ground.number(),
+            message.id,
+            conn.client,
+            conn.number,
+            set_up,
+            message.body or "",
+            now + set_up.wait_us - margin,
+        )
+        self.tasks[task.id] = self.numbers[task.number] = task
+        conn.open[task.id] = None
+        self.open_tasks += 1
+        self.open_of[task.client] = self.open_of.get(task.client, 0) + 1
+        self.ground.count("taken")
+        self.ground.feed(api.TaskAsked(self._told(task)))
+
+    def _told(self, task: Task) -> api.Task:
+        spec = task.set_up.spec
+        return api.Task(
+            task.number,
+            task.set_up.class_index,
+            0,
+            spec.key,
+            task.expires,
+            spec.service,
+            spec.cores,
+            spec.memory,
+            None,
+            spec.again,
+        )
+
+    def _again(self, conn: Conn, task: Task, set_up: door.SetUp, message: Message) -> None:
+        """An id that is here already."""
+        same = task.body == message.body and task.client == conn.client and task.set_up.key == set_up.key
+        if same and set_up.at and task.state is TaskState.STANDING:
+            conn.said = self.ground.now
+            self._move(task, conn)
+        elif same and not set_up.at and task.state is TaskState.OPEN and task.conn != conn.number:
+            conn.said = self.ground.now  # sent again on a new connection, as the old one broke
+            self._move(task, conn)
+        elif task.conn == conn.number and task.state is TaskState.OPEN:
+            # Two under one number: the owner could not tell whose an answer is.
+            self._withdraw(task)
+            self._complain(conn, message.id, Cause.INVALID, "twice")
+        elif task.conn != conn.number:
+            self._complain(conn, message.id, Cause.INVALID, "taken_id")
+
+    def _move(self, task: Task, conn: Conn) -> None:
+        old = self.conns.get(task.conn)
+        if task.state is TaskState.OPEN:
+            if old is not None:
+                old.open.pop(task.id, None)
+            conn.open[task.id] = None
+        else:
+            if old is not None:
+                old.standing -= 1
+            conn.standing += 1
+        task.conn = conn.number
+
+    def _adopt(self, conn: Conn, set_up: door.SetUp, message: Message) -> None:
+        machine = self.out.machine_named(set_up.at)
+        if machine is None or len(self.tasks) >= door.BOUNDS.attempts:
+            self._say_release(conn, Message(Kind.RELEASE, message.id, cause=int(Cause.RESET)))
+            return
+        task = Task(
+            self.ground.number(),
+            message.id,
+            conn.client,
+            conn.number,
+            set_up,
+            message.body or "",
+            self.ground.now + set_up.wait_us,
+            TaskState.STANDING,
+            Fate.PLACED,
+            1,
+        )
+        self.tasks[task.id] = self.numbers[task.number] = task
+        conn.standing += 1
+        self.ground.count("adopted")
+        self.ground.feed(api.TaskAdopted(self._told(task), machine))
+        self.out.adopt(task, machine)
+        self.ground.at(self.ground.now + ADOPTED_US, self._too_old, (task.id, task.number))
+
+    def _too_old(self, name: tuple[str, int]) -> None:
+        """Danger: a task that no machine knows would be kept for good."""
+        task = self.tasks.get(name[0])
+        if task is not None and task.number == name[1]:
+            self.out.release(task)
+
+    def _given_up(self, conn: Conn, message: Message) -> None:
+        task = self.tasks.get(message.id)
+        if task is None or task.client != conn.client:
+            if not conn.said:
+                self._useless(conn)  # crossed with our own word, or of no use
+            return
+        conn.said = self.ground.now
+        if task.state is TaskState.OPEN:
+            self._withdraw(task)
+        else:
+            self.out.release(task)
+
+    def _withdraw(self, task: Task) -> None:
+        """Nobody waits for it any more."""
+        self.ground.count("withdrawn")
+        self._over(task, Fate.FAILED)
+        self.ground.feed(api.TaskWithdrawn(task.number))
+        self.out.withdrawn(task)
+
+    # What is said to them
+
+    def stands(self, task: Task, body: str) -> None:
+        """Its machine's answer, passed on unchanged."""
+        self._unopen(task)
+        task.state, task.fate = self.ground.step(TASK, task.state, "stands"), Fate.PLACED
+        conn = self.conns.get(task.conn)
+        if conn is not None:
+            conn.standing += 1
+        self.ground.count("placed")
+        self.ground.emit(ev.SayOwner(task.conn, Message(Kind.ANSWER, task.id, body=body)))
+
+    def refuse(self, action: api.Refuse) -> None:
+        task = self.numbers.get(action.task)
+        if task is not None and task.state is TaskState.OPEN:
+            fields = {"wait": str(action.retry_after_us // 1000)} if action.retry_after_us else {}
+            self._answer(task, Fate.REFUSED, Message(Kind.RELEASE, task.id, fields, int(Cause.BUSY)))
+
+    def fail(self, action: api.Fail) -> None:
+        task = self.numbers.get(action.task)
+        if task is not None and task.state is TaskState.OPEN:
+            self._answer(task, Fate.FAILED, Message(Kind.RELEASE, task.id, cause=int(Cause.RESET)))
+
+    def _answer(self, task: Task, fate: Fate, message: Message) -> None:
+        self.ground.count(fate.value)
+        conn = task.conn
+        self._over(task, fate)
+        self.ground.emit(ev.SayOwner(conn, message))
+        self.out.withdrawn(task)
+
+    def ended(self, task: Task, cause: int | None) -> None:
+        """A task that stood is over; without a cause its owner is owed no word."""
+        self._over(task, task.fate)
+        if cause is not None:
+            self._release(task.conn, task.client, Message(Kind.RELEASE, task.id, cause=cause))
+
+    def moved(self, task: Task) -> None:
+        """It ends, also at its machine, and its owner comes again."""
+        self._over(task, task.fate)
+        self._release(task.conn, task.client, Message(Kind.MOVE, task.id))
+
+    def _release(self, conn: int, client: str, message: Message) -> None:
+        one = self.conns.get(conn)
+        if one is None or one.closing:
+            others = [self.conns[n] for n in self.clients.get(client, ())]
+            one = max((c for c in others if not c.closing), key=lambda c: c.said, default=None)
+        if one is not None:
+            self._say_release(one, message)
+            return
+        self.ground.count("releases_kept")
+        self.kept.append((self.ground.now, client, message))
+        if len(self.kept) > KEPT_MOST:
+            self.kept.popleft()
+            self.ground.count("releases_dropped")
+
+    def _say_release(self, conn: Conn, message: Message) -> None:
+        conn.unheard.append((self.ground.now, message))
+        if len(conn.unheard) > UNHEARD_MOST:
+            conn.unheard.popleft()
+        self.ground.emit(ev.SayOwner(conn.number, message))
+
+    def _unopen(self, task: Task) -> None:
+        conn = self.conns.get(task.conn)
+        if conn is not None:
+            conn.open.pop(task.id, None)
+            conn.said = self.ground.now
+        self.open_tasks -= 1
+        left = self.open_of.get(task.client, 0) - 1
+        if left > 0:
+            self.open_of[task.client] = left
+        else:
+            self.open_of.pop(task.client, None)
+
+    def _over(self, task: Task, fate: Fate) -> None:
+        if task.state is TaskState.OPEN:
+            self._unopen(task)
+        else:
+            conn = self.conns.get(task.conn)
+            if conn is not None:
+                conn.standing -= 1
+        task.state, task.fate = self.ground.step(TASK, task.state, "over"), fate
+        del self.tasks[task.id]
+        del self.numbers[task.number]
+
+    # Leaving
+
+    def leave(self) -> None:
+        if not self.leaving_at:
+            self.leaving_at = self.ground.now
+
+    def is_done(self) -> bool:
+        """Whether a planner that leaves owes no answer and takes no more."""
+        late = self.ground.now > self.leaving_at + LEAVING_US
+        return bool(self.leaving_at) and late and not self.open_tasks
--- /dev/null
+++ b/stairplank/platform/service.py
@@ -0,0 +1,403 @@
+"""The platform's planner on its sockets: blocking style, a greenlet for each connection. Decides nothing."""
+
+from __future__ import annotations
+
+import errno
+import gc
+import time
+from collections import deque
+from typing import Any
+
+import gevent
+from gevent import socket
+from gevent.event import Event as Flag
+
+from ..planner.clock import now_us
+from ..rpc import address
+from . import binary, config, jsonlines
+from . import events as ev
+from .board import Board
+from .core import Core
+from .logs import log
+from .messages import Kind, Unreadable
+from .streams import Stream
+
+BACKLOG = 1024
+READ = 16_384
+PARTIAL_S = 2.0  # a message that has begun comes whole by then, or its connection is of no use
+LINE_S = 1.0  # the same of a machine's line
+BOARD_SILENT_S = 1.5  # the board says its number each second
+BOARD_RETRY_S, BOARD_RETRY_MOST_S = 0.05, 0.5
+BOARD_LINE_MOST = 4_194_304
+PULSE_S = 0.05
+STOOD_US = 200_000  # without a pulse: the process did not run
+WAKE_MOST_US = 50_000  # is spent at most on reading what came meanwhile
+WAKE_ROUNDS = 4
+LEAVE_MOST_S = 60.0
+
+
+def clocks() -> tuple[int, int]:
+    """Unix time and our own, in microseconds."""
+    return time.time_ns() // 1000, now_us()
+
+
+class Service:
+    def __init__(self, path: str) -> None:
+        self.path = path
+        self.config = config.load(path)
+        c = self.config
+        kinds = tuple(k.name for k in c.settings.kinds)
+        self.board = Board(c.zones, kinds, clocks)
+        self.core = Core(c.settings, c.fields, c.seed, c.sockets, c.dial_timeout_us)
+        self.board_address = c.board
+        self.owners: dict[int, Stream] = {}
+        self.machines: dict[int, Stream] = {}
+        self.dialling: dict[int, gevent.Greenlet] = {}
+        self.owner_sockets = 0  # closing ones included
+        self.owners_most = c.sockets // 2
+        self._number = 0
+        self._dirty: dict[Stream, None] = {}
+        self._pending: deque[ev.Event] = deque()
+        self._working = self._waking = False
+        self._pulse_at = now_us()
+        self._rearm = Flag()
+        self._armed: int | None = None
+        self._board_conn: Any = None
+        self._board_wake = Flag()
+        self._stop = Flag()
+
+    # Life
+
+    def run(self) -> int:
+        """Serve until ``stop``; the exit code."""
+        c = self.config
+        known = []
+        for value in c.known:
+            notice, _ = self.board.take(value)
+            if notice is not None:
+                known.append(notice)
+        listener, where = address.listen(c.listen, BACKLOG)
+        self._carry_out(self.core.start(now_us(), known))
+        gc.collect()
+        gc.freeze()
+        gc.set_threshold(20_000, 20, 50)
+        self._pulse_at = now_us()
+        accepting = gevent.spawn(self._accept, listener)
+        for loop in (self._clock, self._pulse, self._watch):
+            gevent.spawn(loop)
+        log("serves", name=c.name, listen=where, machines=len(self.core.links.machines))
+        self._stop.wait()
+        log("leaves", open=self.core.owed.open_tasks, standing=len(self.core.owed.tasks))
+        self.feed(ev.StopAsked())
+        with gevent.Timeout(LEAVE_MOST_S, False):  # type: ignore[arg-type]
+            while not self.core.owed.is_done():
+                gevent.sleep(0.02)
+                self.feed(ev.Due())
+        accepting.kill()
+        listener.close()
+        gevent.sleep(0.05)  # the last answers leave
+        log("has left", **self.core.counts)
+        return 0
+
+    def stop(self) -> None:
+        self._stop.set()
+
+    def reload(self) -> None:
+        """Another board, if the file names one; a file that cannot be used changes nothing."""
+        try:
+            found = config.board_of(config.read(self.path))
+        except config.ConfigError as error:
+            log("configuration not taken", error=str(error))
+            return
+        log("configuration read", board=found)
+        if found != self.board_address:
+            self.board_address = found
+            self._board_again()
+
+    # The core
+
+    def feed(self, *events: ev.Event) -> None:
+        """Give the core events and do what it says. Events that arise meanwhile wait their turn."""
+        self._pending.extend(events)
+        if self._working or self._waking:
+            return
+        if now_us() - self._pulse_at > STOOD_US:
+            self._waking = True
+            gevent.spawn(self._wake)
+            return
+        self._working = True
+        try:
+            while self._pending:
+                batch = list(self._pending)
+                self._pending.clear()
+                self._carry_out(self.core.handle(now_us(), batch))
+        finally:
+            self._working = False
+        self._flush()
+        due = self.core.next_due()
+        if due is not None and (self._armed is None or due < self._armed):
+            self._rearm.set()
+
+    def _pulse(self) -> None:
+        while True:
+            if not self._waking:
+                self._pulse_at = now_us()
+            gevent.sleep(PULSE_S)
+
+    def _wake(self) -> None:
+        """The process stood still, stopped or starved: read what came before anything is decided."""
+        stood = now_us() - self._pulse_at
+        until = now_us() + WAKE_MOST_US
+        seen = -1
+        while len(self._pending) != seen and now_us() < until:
+            seen = len(self._pending)
+            for _ in range(WAKE_ROUNDS):
+                gevent.sleep(0)
+        events = list(self._pending)
+        self._pending.clear()
+        self._pulse_at = now_us()
+        self._waking = False
+        self.core.ground.count("stood_still")
+        if stood > 5 * STOOD_US:
+            log("stood still", ms=stood // 1000, came=len(events))
+        self._working = True
+        try:
+            self._carry_out(self.core.woke(now_us(), events))
+        finally:
+            self._working = False
+        self._flush()
+        self.feed(ev.Due())
+
+    def _clock(self) -> None:
+        while True:
+            due = self.core.next_due()
+            self._armed = due
+            self._rearm.clear()
+            left = None if due is None else max(0, due - now_us()) / 1e6
+            if not self._rearm.wait(left):
+                self.feed(ev.Due())
+
+    def _carry_out(self, actions: list[ev.Action]) -> None:
+        for action in actions:
+            match action:
+                case ev.SayOwner():
+                    self._put(self.owners.get(action.conn), binary.encode(action.message))
+                case ev.SayMachine():
+                    mark = action.message.id if action.message.kind in (Kind.SET_UP, Kind.TEST) else ""
+                    self._put(self.machines.get(action.link), jsonlines.encode(action.message), mark)
+                case ev.CloseOwner():
+                    self._end_owner(action.conn)
+                case ev.Dial():
+                    self.dialling[action.link] = gevent.spawn(self._machine, action.link, action.address)
+                case ev.HangUp():
+                    self._hang_up(action)
+                case ev.WatchBoard():
+                    self._board_wake.set()
+                case ev.Report():
+                    log(action.event, **action.fields)
+
+    def _put(self, stream: Stream | None, data: bytes, mark: str = "") -> None:
+        if stream is not None:
+            stream.put(data, mark)
+            self._dirty[stream] = None
+
+    def _flush(self) -> None:
+        """What one turn says to one side leaves in one piece."""
+        while self._dirty:
+            dirty, self._dirty = self._dirty, {}
+            for stream in dirty:
+                stream.flush()
+
+    def _next(self) -> int:
+        self._number += 1
+        return self._number
+
+    # Owners
+
+    def _accept(self, listener: Any) -> None:
+        while True:
+            try:
+                sock, peer = listener.accept()
+            except OSError as error:
+                if error.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
+                    # Danger: out of descriptors, accepting would spin and nothing else would run.
+                    self._make_room()
+                    gevent.sleep(0.02)
+                    continue
+                if error.errno in (errno.ECONNABORTED, errno.EPROTO, errno.EINTR):
+                    continue
+                return
+            if self.owner_sockets >= self.owners_most and not self._make_room():
+                address.abort(sock)
+                continue
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            self.owner_sockets += 1
+            gevent.spawn(self._owner, sock, peer[0])
+
+    def _make_room(self) -> bool:
+        """Danger: connections that say nothing would keep good owners, machines and the board out."""
+        number = self.core.owed.spare()
+        stream = self.owners.get(number) if number is not None else None
+        if stream is None:
+            return False
+        stream.close(hard=True)
+        self._owner_gone(stream)
+        return True
+
+    def _owner(self, sock: Any, client: str) -> None:
+        stream = Stream(sock, self._next(), self._owner_gone)
+        self.owners[stream.number] = stream
+        self.feed(ev.OwnerCame(stream.number, client))
+        reader = binary.Reader()
+        began = 0.0
+        try:
+            while not stream.closed:
+                if not reader.waiting:
+                    began = time.monotonic()
+                sock.settimeout(max(0.01, began + PARTIAL_S - time.monotonic()) if reader.waiting else None)
+                data = sock.recv(READ)
+                if not data:
+                    break
+                try:
+                    self._said(stream, reader.feed(data))
+                except Unreadable as error:
+                    self.core.ground.count("unreadable_owners")
+                    self._said(stream, error.messages)  # type: ignore[attr-defined]
+                    break
+                # Danger: one that sends at full speed would be read for ever, and nobody else.
+                gevent.sleep(0)
+        except (OSError, TimeoutError):
+            pass
+        finally:
+            self._end_owner(stream.number)
+            while not stream.closed:
+                gevent.sleep(0.05)
+            self.owner_sockets -= 1
+
+    def _said(self, stream: Stream, messages: list[Any]) -> None:
+        if messages:
+            self.feed(*[ev.OwnerSaid(stream.number, message) for message in messages])
+
+    def _end_owner(self, number: int) -> None:
+        stream = self.owners.get(number)
+        if stream is not None:
+            stream.end()
+            self._owner_gone(stream)
+
+    def _owner_gone(self, stream: Stream) -> None:
+        if self.owners.pop(stream.number, None) is not None:
+            self.feed(ev.OwnerLeft(stream.number))
+
+    # Machines
+
+    def _machine(self, link: int, where: str) -> None:
+        try:
+            sock = address.dial(where, self.config.dial_timeout_us / 1e6)
+        except (OSError, TimeoutError, ValueError) as error:
+            if self.dialling.pop(link, None) is not None:
+                self.feed(ev.LinkFailed(link, isinstance(error, ConnectionRefusedError)))
+            return
+        if self.dialling.pop(link, None) is None:
+            sock.close()
+            return
+        stream = self.machines[link] = Stream(sock, link, self._machine_gone)
+        self.feed(ev.LinkUp(link))
+        lines = jsonlines.Lines()
+        began = 0.0
+        try:
+            while not stream.closed:
+                if not lines.waiting:
+                    began = time.monotonic()
+                sock.settimeout(max(0.01, began + LINE_S - time.monotonic()) if lines.waiting else None)
+                data = sock.recv(READ)
+                if not data:
+                    break
+                bad = False
+                try:
+                    whole = lines.feed(data)
+                except Unreadable as error:
+                    whole, bad = error.lines, True  # type: ignore[attr-defined]
+                said: list[ev.Event] = []
+                try:
+                    for line in whole:
+                        said.append(ev.MachineSaid(link, jsonlines.decode(line)))
+                except Unreadable:
+                    bad = True
+                self.feed(*said)
+                if bad:
+                    self.core.ground.count("spoilt_links")
+                    break
+                gevent.sleep(0)
+        except (OSError, TimeoutError):
+            pass
+        self._machine_gone(stream)
+        stream.close()
+
+    def _machine_gone(self, stream: Stream) -> None:
+        if self.machines.pop(stream.number, None) is not None:
+            self.feed(ev.LinkLost(stream.number, stream.unsent()))
+
+    def _hang_up(self, action: ev.HangUp) -> None:
+        self.dialling.pop(action.link, None)
+        stream = self.machines.pop(action.link, None)
+        if stream is not None:
+            stream.flush()
+            stream.close(action.hard)
+
+    # The board
+
+    def _board_again(self) -> None:
+        """Leave the connection that is there, and dial at once."""
+        self._board_wake.set()
+        conn, self._board_conn = self._board_conn, None
+        if conn is not None:
+            try:
+                conn.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+
+    def _watch(self) -> None:
+        wait = BOARD_RETRY_S
+        while True:
+            self._board_wake.clear()
+            where, rev = self.board_address, self.board.rev
+            if self._follow(where):
+                wait = BOARD_RETRY_S
+            self.core.ground.count("board_breaks")
+            if self.board.rev == rev and where == self.board_address:
+                self._board_wake.wait(wait)
+                wait = min(2 * wait, BOARD_RETRY_MOST_S)
+
+    def _follow(self, where: str) -> bool:
+        """Watch until the connection is of no further use; whether it brought anything."""
+        heard = False
+        conn = None
+        try:
+            conn = address.dial(where, BOARD_SILENT_S)
+            self._board_conn = conn
+            conn.settimeout(BOARD_SILENT_S)
+            conn.sendall(b"watch %d\n" % self.board.rev)
+            lines = jsonlines.Lines(BOARD_LINE_MOST)
+            last = time.monotonic()
+            while where == self.board_address:
+                conn.settimeout(max(0.01, last + BOARD_SILENT_S - time.monotonic()))
+                data = conn.recv(65_536)
+                if not data:
+                    break
+                for line in lines.feed(data):
+                    last = time.monotonic()
+                    notice, missed = self.board.take(jsonlines.parsed(line))
+                    heard = True
+                    if notice is not None:
+                        self.feed(ev.BoardTold(notice))
+                    if missed:
+                        return heard
+                gevent.sleep(0)
+        except (OSError, TimeoutError, ValueError, Unreadable):
+            pass
+        finally:
+            if self._board_conn is conn:
+                self._board_conn = None
+            if conn is not None:
+                conn.close()
+        return heard
--- /dev/null
+++ b/stairplank/platform/streams.py
@@ -0,0 +1,116 @@
+"""A connection as the service writes it: joined, bounded, and with the marks of what left whole."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+from typing import Any
+
+import gevent
+from gevent import socket
+
+from ..rpc import address
+
+UNREAD_MOST = 262_144  # bytes that the other side does not read before the connection is given up
+WRITE_S = 5.0
+DRAIN_S, DRAIN_MOST = 0.5, 1_048_576  # a connection that is closed is read so long, and so much
+
+
+class Stream:
+    """``gone`` is called once writing has failed."""
+
+    def __init__(self, sock: Any, number: int, gone: Callable[[Stream], None]) -> None:
+        self.sock = sock
+        self.number = number
+        self.closed = False
+        self._gone = gone
+        self._buffer = bytearray()
+        self._queued = 0  # bytes put, over the connection's life
+        self._marks: deque[tuple[int, str]] = deque()  # where messages that matter end
+        self._writer: gevent.Greenlet | None = None
+        self._closing = False
+
+    def put(self, data: bytes, mark: str = "") -> None:
+        """Have it written with the next ``flush``. Danger: who does not read would have us keep all."""
+        if self.closed or self._closing:
+            return
+        self._buffer += data
+        self._queued += len(data)
+        if mark:
+            self._marks.append((self._queued, mark))
+        if len(self._buffer) > UNREAD_MOST:
+            self._fail()
+
+    def unsent(self) -> frozenset[str]:
+        """Marks of the messages of which not every byte has been given to the system."""
+        written = self._queued - len(self._buffer)
+        return frozenset(mark for end, mark in self._marks if end > written)
+
+    def flush(self) -> None:
+        if self.closed or self._writer is not None or not self._buffer:
+            return
+        try:
+            self._sent(self.sock.send(self._buffer, 0, 0.0))
+        except BlockingIOError:
+            pass
+        except OSError:
+            self._fail()
+            return
+        if self._buffer:
+            self._writer = gevent.spawn(self._write)
+
+    def _sent(self, size: int) -> None:
+        del self._buffer[:size]
+        written = self._queued - len(self._buffer)
+        while self._marks and self._marks[0][0] <= written:
+            self._marks.popleft()
+
+    def _write(self) -> None:
+        try:
+            while self._buffer and not self.closed:
+                with gevent.Timeout(WRITE_S, TimeoutError("not read")):
+                    self._sent(self.sock.send(bytes(self._buffer[:65_536])))
+        except (OSError, TimeoutError):
+            self._fail()
+        finally:
+            self._writer = None
+
+    def _fail(self) -> None:
+        if not self.closed:
+            self._gone(self)
+            self.close(hard=True)
+
+    def close(self, hard: bool = False) -> None:
+        """``hard``: nothing written so far need arrive."""
+        if self.closed:
+            return
+        self.closed = True
+        if hard:
+            address.abort(self.sock)
+        else:
+            self.sock.close()
+
+    def end(self) -> None:
+        """Close once all is written, reading on for a while.
+
+        Danger: closing with bytes unread resets the connection, and the last answer is lost on its way.
+        """
+        if self.closed or self._closing:
+            return
+        self.flush()
+        self._closing = True
+        gevent.spawn(self._end)
+
+    def _end(self) -> None:
+        try:
+            with gevent.Timeout(DRAIN_S, False):  # type: ignore[arg-type]
+                if self._writer is not None:
+                    self._writer.join()
+                self.sock.shutdown(socket.SHUT_WR)
+                left = DRAIN_MOST
+                while left > 0 and (data := self.sock.recv(65_536)):
+                    left -= len(data)
+                    gevent.sleep(0)
+        except OSError:
+            pass
+        self.close()
--- /dev/null
+++ b/stairplank/platform/tables.py
@@ -0,0 +1,116 @@
+"""What the two tables hold, tasks and attempts, and how each may change. No I/O."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import Enum
+
+from ..planner.leftovers import Fate
+from ..planner.transitions import Table
+from .door import SetUp
+
+
+class Stage(Enum):
+    """An attempt's."""
+
+    __hash__ = object.__hash__  # the enum's own is computed anew from the name at each look-up
+
+    WAITING = "waiting"  # for a connection: not every byte has left
+    OUT = "out"  # written whole; the machine has said nothing
+    STANDING = "standing"
+    VOID = "given up"  # the module has its outcome; the machine may still take it
+    CUT = "released"  # it stood, or stands after all, and was told to end
+    OVER = "over"
+
+
+class TaskState(Enum):
+    __hash__ = object.__hash__  # see Stage
+
+    OPEN = "open"  # its owner waits
+    STANDING = "standing"  # answered, or adopted; its end is owed
+    OVER = "over"
+
+
+S, T = Stage, TaskState
+
+ATTEMPT = Table(
+    "platform attempt",
+    {
+        (S.WAITING, "written"): S.OUT,
+        (S.WAITING, "over"): S.OVER,
+        (S.OUT, "not written"): S.WAITING,
+        (S.OUT, "stands"): S.STANDING,
+        (S.OUT, "given up"): S.VOID,
+        (S.OUT, "over"): S.OVER,
+        (S.STANDING, "released"): S.CUT,
+        (S.STANDING, "over"): S.OVER,
+        (S.VOID, "released"): S.CUT,
+        (S.VOID, "over"): S.OVER,
+        (S.CUT, "released"): S.CUT,
+        (S.CUT, "over"): S.OVER,
+    },
+)
+TASK = Table(
+    "platform task",
+    {
+        (T.OPEN, "stands"): T.STANDING,
+        (T.OPEN, "over"): T.OVER,
+        (T.STANDING, "over"): T.OVER,
+    },
+)
+
+
+@dataclass(slots=True, eq=False)
+class Task:
+    """``number`` is the module's name for it, ``id`` the owner's and the machines'."""
+
+    number: int
+    id: str
+    client: str
+    conn: int
+    set_up: SetUp
+    body: str
+    expires: int
+    state: TaskState = TaskState.OPEN
+    fate: Fate = Fate.OPEN
+    shots: int = 0
+    out: Attempt | None = None  # the one under way, or the one that stands
+
+
+@dataclass(slots=True, eq=False)
+class Attempt:
+    task: Task
+    shot: int
+    machine: int
+    began: int
+    due: int
+    stage: Stage = Stage.WAITING
+    link: int = 0
+    until: int = 0  # a leftover is forgotten then
+
+    @property
+    def id(self) -> str:
+        return self.task.id
+
+
+@dataclass(slots=True, eq=False)
+class Test:
+    """A probe of the module's, or (``asked`` False) one of the links' own."""
+
+    id: str
+    machine: int
+    began: int
+    asked: bool = True
+    link: int = 0
+
+
+@dataclass(slots=True, eq=False)
+class Link:
+    number: int
+    machine: int
+    dialled: int
+    up: bool = False
+    opened: int = 0
+    used: int = 0
+    suspect: bool = False  # an answer did not come on it: nothing new goes there
+    open: dict[str, Attempt | Test] = field(default_factory=dict)
--- a/stairplank/wire.py
+++ b/stairplank/wire.py
@@ -289,11 +289,39 @@
     return REPLY_HEADER.pack(REPLY_HEADER.size + len(body)) + body
 
 
+def flattened(nested: Mapping[str, Any]) -> dict[str, str]:
+    """Nested settings as the paths and values of the settings text."""
+    out: dict[str, str] = {}
+
+    def plain(value: Any) -> str:
+        if isinstance(value, bool):
+            return "true" if value else "false"
+        return "" if value is None else str(value).replace(" ", "_").replace(",", "_")
+
+    def walk(path: str, value: Any) -> None:
+        if isinstance(value, Mapping):
+            for key, inner in value.items():
+                walk(f"{path}.{key}" if path else str(key), inner)
+        elif isinstance(value, (list, tuple)) and any(isinstance(item, Mapping) for item in value):
+            out[f"{path}.count"] = str(len(value))
+            for i, item in enumerate(value):
+                walk(f"{path}.{i}", item)
+        elif isinstance(value, (list, tuple)):
+            out[path] = ",".join(plain(item) for item in value)
+        else:
+            out[path] = plain(value)
+
+    walk("", nested)
+    return out
+
+
 class Options:
     """The settings text as typed look-ups; a missing or unreadable required key is named in the error."""
 
-    def __init__(self, text: str) -> None:
-        self.values = dict(line.split("=", 1) for line in text.splitlines() if "=" in line)
+    def __init__(self, source: str | Mapping[str, str]) -> None:
+        if isinstance(source, str):
+            source = dict(line.split("=", 1) for line in source.splitlines() if "=" in line)
+        self.values = source
 
     def _read(self, key: str, convert: Callable[[str], Any], default: Any) -> Any:
         raw = self.values.get(key)
@@ -339,9 +367,10 @@
         return out
 
 
-def settings_from(text: str) -> api.Settings:
-    """The settings of an instance; keys that are not known are passed over."""
-    o = Options(text)
+def settings_from(source: str | Options) -> api.Settings:
+    """The settings of an instance, from their text or read already; keys that are not known are passed
+    over."""
+    o = source if isinstance(source, Options) else Options(source)
     n = o.whole("classes.count")
     spread = o.items("family_info.spread_by", _SCOPES.__getitem__, n, api.Scope.NONE)
     most = o.items("family_info.class_most", lambda x: int(float(x)), n, 0)
