A good end with a description is taken for the answer and the end in one

Ruled out: connections (the one in question stays open and serves others), our own give-ups and closes (none before it), retries (most had been asked once).

Change: out._released takes it for the answer and the end: the owner gets the description and a release with cause 16, the module placed and finished. The second word is passed over. One without a description still proves nothing.

--- a/tests/platform/test_platform_core.py
+++ b/tests/platform/test_platform_core.py
@@ -88,6 +88,29 @@
     assert desk.words(1)[-1][1:] == (RELEASE, Cause.BUSY)  # refused: trying again is harmless
 
 
+def test_an_end_with_a_description_is_the_answer_and_the_end() -> None:
+    desk = Desk()
+    conn = desk.owner()
+    desk.ask(conn, 1, "once")
+    desk.connect()
+    link, _ = desk.sent(1)[0]
+    desk.machine(link, Message(RELEASE, name(1), cause=Cause.ENDED, body="it was here"))
+    desk.ends(link, 1, Cause.RESET)  # a second word changes nothing
+    assert desk.words(1) == [(conn, ANSWER, None), (conn, RELEASE, Cause.ENDED)]
+    assert [m.body for _, m in desk.said] == ["it was here", None]
+    assert len(desk.sent(1)) == 1 and not desk.core.out.at
+    assert not any(node.silent or node.streak for node in desk.core.module.nodes.values())
+
+
+def test_an_end_without_one_proves_nothing() -> None:
+    desk = Desk()
+    conn = desk.owner()
+    desk.ask(conn, 1, "once")
+    desk.connect()
+    desk.ends(desk.sent(1)[0][0], 1)
+    assert desk.words(1) == [(conn, RELEASE, Cause.RESET)]
+
+
 # Late words, second words
 
 
