--- /dev/null
+++ b/tests/platform/test_platform_bounds.py
@@ -0,0 +1,66 @@
+"""Bounds that keep one side that does not read, or many that give up, from filling the process."""
+
+from __future__ import annotations
+
+import os
+
+import pytest
+from desk import Desk, name
+from gevent import socket as gsocket
+
+from stairplank.platform import events as ev
+from stairplank.platform import logs, out, streams
+from stairplank.platform.messages import Kind, Message
+
+
+def test_who_does_not_read_is_given_up() -> None:
+    ours, theirs = gsocket.socketpair()
+    gone: list[streams.Stream] = []
+    stream = streams.Stream(ours, 1, gone.append)
+    for number in range(2000):
+        stream.put(b"x" * 1000, f"m{number}")
+        stream.flush()
+        if gone:
+            break
+    assert gone == [stream] and stream.closed
+    assert 0 < len(stream.unsent()) <= streams.UNREAD_MOST // 1000 + 1
+    assert "m0" not in stream.unsent()  # that one left whole
+    theirs.close()
+
+
+def test_given_up_attempts_are_remembered_up_to_a_bound(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(out, "LEFTOVERS_MOST", 5)
+    desk = Desk(machines=4)
+    conn = desk.owner()
+    for number in range(1, 20):
+        desk.ask(conn, number, extras=f"cores:0.5;memory:1;service:{number:016x}")
+        desk.connect()
+        desk.feed(ev.OwnerSaid(conn, Message(Kind.RELEASE, name(number), cause=16)))
+    assert len(desk.core.out.at) == 5
+
+
+def test_attempts_under_way_are_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(out, "OUT_MOST", 3)
+    desk = Desk(machines=4)
+    conn = desk.owner()
+    for number in range(1, 10):
+        desk.ask(conn, number, extras=f"cores:0.5;memory:1;service:{number:016x}")
+    assert desk.core.out.under_way == 3
+    assert [m.cause for _, m in desk.said] == [42] * 6
+
+
+def test_a_log_that_nobody_reads_stops_nothing(monkeypatch: pytest.MonkeyPatch) -> None:
+    reads, writes = os.pipe()
+    kept = os.dup(2)
+    try:
+        os.dup2(writes, 2)
+        logs.never_block()
+        monkeypatch.setattr(logs, "_left", 500)
+        for number in range(1000):
+            logs.log("event", number=number, text="x" * 1000)
+        assert logs._left == 0
+    finally:
+        os.dup2(kept, 2)
+        os.set_blocking(2, True)
+        for fd in (reads, writes, kept):
+            os.close(fd)
