One watch for stalls serves the daemon and the platform's service

Cause: the same 15 lines stood in planner/daemon and platform/service, and only the platform's had been mended: the daemon's pulse set its mark anew after a stall without looking, so that its own timer, where it came first, hid the stall from every other.

Checked: the shared class put back into the daemon's form (the mark set without looking) fails two tests that really block the process for 0.5 s; the mended form passes them, also beside ten busy loops. Ruled out: that the daemon's existing test sees it (it moves the mark by hand and stops no process).

Change: planner/pulse.py; both drivers ask it before each turn. A round of reading is a timer of 2 ms: with sleep(0) the platform's process test with SIGSTOP had failed, which a test without a process does not show at every run.

--- a/stairplank/planner/daemon.py
+++ b/stairplank/planner/daemon.py
@@ -42,15 +42,12 @@
 from .links import Heard
 from .nodelink import NODE as NODE
 from .nodelink import WORK_BATCH, NodeLink
+from .pulse import Pulse
 
 PLACEMENT = placement_pb2.DESCRIPTOR.services_by_name["Placement"]
 DIRECTORY = directory_pb2.DESCRIPTOR.services_by_name["Directory"]
 HELLO_S = 5.0  # an owner's stream must say whose it is by then
 UNKNOWN_AGE_US = 1 << 62  # what an ask under no grant of its stream proves: nothing
-PULSE_S = 0.05
-STOOD_US = 200_000  # without a pulse: the process did not run
-WAKE_MOST_US = 100_000  # is spent at most on reading what came meanwhile
-WAKE_ROUNDS = 8  # turns of all greenlets without a further event: everything is read
 
 
 class Daemon:
@@ -103,9 +100,8 @@
         self.core_ns = 0  # time spent in the core and the module
         self._session = 0
         self._pending: deque[ev.Event] = deque()
-        self._pulse_at = now_us()
-        self._waking = False
         self._working = False
+        self.pulse = Pulse(self._pending, self._wake)
         self._rearm = Flag()
         self._armed: int | None = None
         self._watch: Any = None
@@ -148,9 +144,8 @@
         self.server.start()
         self.log.info("planner starts", listen=list(self.server.addresses), life=self.life)
         self._carry_out(self.core.start(now_us()))
-        self._pulse_at = now_us()
         gevent.spawn(self._clock)
-        gevent.spawn(self._pulse)
+        self.pulse.start()
 
     def stop(self) -> None:
         self._stop.set()
@@ -177,11 +172,7 @@
     def feed(self, event: ev.Event) -> None:
         """Give the core an event and do what it says. Events that arise meanwhile wait their turn."""
         self._pending.append(event)
-        if self._working or self._waking:
-            return
-        if now_us() - self._pulse_at > STOOD_US:
-            self._waking = True
-            gevent.spawn(self._wake)
+        if self._working or self.pulse.late():
             return
         self._working = True
         try:
@@ -196,26 +187,10 @@
         if due is not None and (self._armed is None or due < self._armed):
             self._rearm.set()
 
-    def _pulse(self) -> None:
-        """Notes that the process runs."""
-        while True:
-            if not self._waking:
-                self._pulse_at = now_us()
-            gevent.sleep(PULSE_S)
-
-    def _wake(self) -> None:
-        """The process stood still, stopped or starved: read what came before anything is decided."""
-        stood = now_us() - self._pulse_at
-        until = now_us() + WAKE_MOST_US
-        seen = -1
-        while len(self._pending) != seen and now_us() < until:
-            seen = len(self._pending)
-            for _ in range(WAKE_ROUNDS):
-                gevent.sleep(0)
+    def _wake(self, stood: int) -> None:
+        """The process stood still, stopped or starved; what came meanwhile is read by now."""
         events = list(self._pending)
         self._pending.clear()
-        self._pulse_at = now_us()
-        self._waking = False
         self.log.info("stood still", ms=stood // 1000, came=len(events))
         self._working = True
         try:
--- a/stairplank/platform/service.py
+++ b/stairplank/platform/service.py
@@ -13,6 +13,7 @@
 from gevent.event import Event as Flag
 
 from ..planner.clock import now_us
+from ..planner.pulse import Pulse
 from ..rpc import address
 from . import binary, config, jsonlines
 from . import events as ev
@@ -30,10 +31,7 @@
 BOARD_SILENT_S = 1.5  # the board says its number each second
 BOARD_RETRY_S, BOARD_RETRY_MOST_S = 0.05, 0.5
 BOARD_LINE_MOST = 4_194_304
-PULSE_S = 0.05
-STOOD_US = 200_000  # without a pulse: the process did not run
-WAKE_MOST_US = 50_000  # is spent at most on reading what came meanwhile
-WAKE_ROUND_S = 0.002  # a turn of the loop in which sockets are looked at: sleep(0) need not be one
+LOGGED_US = 1_000_000  # a stall of so long is worth a line
 LEAVE_MOST_S = 60.0
 
 
@@ -59,8 +57,8 @@
         self._number = 0
         self._dirty: dict[Stream, None] = {}
         self._pending: deque[ev.Event] = deque()
-        self._working = self._waking = False
-        self._pulse_at = now_us()
+        self._working = False
+        self.pulse = Pulse(self._pending, self._wake)
         self._rearm = Flag()
         self._armed: int | None = None
         self._board_conn: Any = None
@@ -82,9 +80,9 @@
         gc.collect()
         gc.freeze()
         gc.set_threshold(20_000, 20, 50)
-        self._pulse_at = now_us()
+        self.pulse.start()
         accepting = gevent.spawn(self._accept, listener)
-        for loop in (self._clock, self._pulse, self._watch):
+        for loop in (self._clock, self._watch):
             gevent.spawn(loop)
         log("serves", name=c.name, listen=where, machines=len(self.core.links.machines))
         self._stop.wait()
@@ -120,7 +118,7 @@
     def feed(self, *events: ev.Event) -> None:
         """Give the core events and do what it says. Events that arise meanwhile wait their turn."""
         self._pending.extend(events)
-        if self._working or self._woke_late():
+        if self._working or self.pulse.late():
             return
         self._working = True
         try:
@@ -135,35 +133,12 @@
         if due is not None and (self._armed is None or due < self._armed):
             self._rearm.set()
 
-    def _pulse(self) -> None:
-        while True:
-            gevent.sleep(PULSE_S)
-            if not self._woke_late():
-                self._pulse_at = now_us()
-
-    def _woke_late(self) -> bool:
-        """Whether the process stood still; what came meanwhile is then read first. Danger: whichever timer
-        comes first after a stall, the pulse's own included, must not let the others decide on old news."""
-        if not self._waking and now_us() - self._pulse_at > STOOD_US:
-            self._waking = True
-            gevent.spawn(self._wake)
-        return self._waking
-
-    def _wake(self) -> None:
-        """The process stood still, stopped or starved: read what came before anything is decided."""
-        stood = now_us() - self._pulse_at
-        until = now_us() + WAKE_MOST_US
-        seen = -1
-        while len(self._pending) != seen and now_us() < until:
-            seen = len(self._pending)
-            for _ in range(2):
-                gevent.sleep(WAKE_ROUND_S)
+    def _wake(self, stood: int) -> None:
+        """The process stood still; what came meanwhile is read by now."""
         events = list(self._pending)
         self._pending.clear()
-        self._pulse_at = now_us()
-        self._waking = False
         self.core.ground.count("stood_still")
-        if stood > 5 * STOOD_US:
+        if stood > LOGGED_US:
             log("stood still", ms=stood // 1000, came=len(events))
         self._working = True
         try:
--- a/tests/planner/test_daemon_fence.py
+++ b/tests/planner/test_daemon_fence.py
@@ -180,13 +180,13 @@
 
 def test_a_planner_that_stood_still_reads_before_it_decides(world: World) -> None:
     """Its pulse has stopped; an ask is read first, and a drain that lay in another socket after it."""
-    import stairplank.planner.daemon as daemon
     from stairplank.planner import events as ev
+    from stairplank.planner import pulse
 
     call, _ = stream(world)
     session = next(iter(world.daemon.owners))
     spec = [ev.TaskSpec("o", n, "worker", "", 100 + n, 1.0, 1.0, 0, False) for n in range(1, 9)]
-    world.daemon._pulse_at -= daemon.STOOD_US + 1
+    world.daemon.pulse.at -= pulse.STOOD_US + 1
     for n, task in enumerate(spec, 1):
         world.daemon.feed(ev.Asked(session, n, task, 6_000_000))
     world.daemon.feed(ev.NodeDraining(1))
