Nothing is placed before the board's first word; what a close gives up is told before a copy goes

A restarted planner began at 888.441 with "known rev 1", dialled the board at 888.532 and took notices 2 and 3, with that machine's drain, at 888.614 and 888.647 ("START 1 1", "WATCH 1", "N 2 D s- ..."), and placed from the file between. At fault: service.run accepted before the board had spoken. Ruled out: set-ups that lie in buffers (nothing was put for such a machine after its notice). Now connections wait unaccepted until the board has been silent for 0.1 s after its first lines or the watch, not longer than 1.5 s.

Another task's time-out on connection 1738 made it suspect; with all connections at the bound, links._free_one closed it with the set-up out on it, and a close is read on for up to 0.5 s before it is one. Now one that nothing waits on is closed instead, and links._break tells the machine of each set-up that it gives up. In the service, a spoilt connection was closed after the core had been told, so after the copy had left (service._machine, Stream._fail): the order is turned round.

--- a/stairplank/platform/links.py
+++ b/stairplank/platform/links.py
@@ -49,6 +49,7 @@
     def not_written(self, thing: Attempt | Test) -> bool: ...
     def unreachable(self, thing: Attempt | Test, result: api.Result = ...) -> None: ...
     def broken(self, thing: Attempt | Test) -> None: ...
+    def called_back(self, thing: Attempt | Test) -> None: ...
     def machine_lost(self, machine: int, before: int | None = None) -> None: ...
     def message_of(self, thing: Attempt | Test) -> Message: ...
     def said(self, machine: int, link: int, message: Message) -> None: ...
@@ -183,15 +184,12 @@
         return len(machine.links) < self.pool_most and in_all < self.links_most
 
     def _free_one(self, machine: Machine) -> None:
-        """No connection of use and no room for another: the oldest suspect goes, or the wait goes on."""
-        suspects = [k for k in machine.links.values() if k.suspect]
-        if suspects:
-            self._break(min(suspects, key=lambda k: k.opened))
-            self._dial(machine)
-        elif not machine.links:
-            spare = [k for k in self.links.values() if k.up and not k.open]
-            if spare:
-                self._break(min(spare, key=lambda k: k.used))
+        """No connection of use and no room for another: one that nothing waits on goes, wherever it leads, or
+        the wait goes on. Danger: closing one for room would give up the set-ups that are out on it."""
+        spare = [k for k in self.links.values() if k.up and not k.open]
+        if spare:
+            self._break(min(spare, key=lambda k: k.used))
+        if spare or not machine.links:
             self._dial(machine)
 
     def _write(self, link: Link, thing: Attempt | Test) -> None:
@@ -288,6 +286,9 @@
         self.closing.pop(event.link, None)
         if link is None:
             return
+        # Danger: one that is over already would count among those that are read on until they close, for good,
+        # and after a third of the descriptors nothing more would be dialled.
+        link.up = False
         self._break(link, event.unsent)
         # Danger: a release that was on its way there comes only on the next connection, and is due
         # in a second.
@@ -323,7 +324,14 @@
             machine.links.pop(link.number, None)
 
     def _break(self, link: Link, unsent: frozenset[str] = frozenset()) -> None:
-        """Close it, if it is not closed yet. What was written whole on it is broken; the rest goes again."""
+        """Close it, if it is not closed yet. What was written whole on it is broken; the rest goes again.
+
+        Danger: a connection is read on after its close, and until the machine has seen that close what is out
+        on it is not given up: the module may send a second copy at once. So the machine is told first.
+        """
+        for thing in link.open.values():
+            if link.up and thing.id not in unsent:
+                self.out.called_back(thing)
         self.ground.emit(ev.HangUp(link.number))
         if link.up:
             self.closing[link.number] = link.machine
--- a/stairplank/platform/out.py
+++ b/stairplank/platform/out.py
@@ -26,6 +26,7 @@
 from ..planner.ground import Ground
 from ..planner.leftovers import Copy, Fate
 from . import door
+from . import events as ev
 from .messages import Cause, Kind, Message
 from .tables import ATTEMPT, Attempt, Stage, Task, Test
 
@@ -200,6 +201,12 @@
         elif thing.stage is Stage.WAITING:
             self._over(thing, result)
 
+    def called_back(self, thing: Attempt | Test) -> None:
+        """Its connection is about to be closed: its machine is told that it is given up."""
+        if isinstance(thing, Attempt) and thing.stage is Stage.OUT:
+            message = Message(Kind.RELEASE, thing.id, cause=int(Cause.ENDED))
+            self.ground.emit(ev.SayMachine(thing.link, message))
+
     def broken(self, thing: Attempt | Test) -> None:
         """Its connection is no more, after a whole write. Danger: the machine may have taken it all the
         same."""
--- a/stairplank/platform/service.py
+++ b/stairplank/platform/service.py
@@ -29,6 +29,7 @@
 PARTIAL_S = 2.0  # a message that has begun comes whole by then, or its connection is of no use
 LINE_S = 1.0  # the same of a machine's line
 BOARD_SILENT_S = 1.5  # the board says its number each second
+BOARD_QUIET_S = 0.1  # it tells at once all that is later: well under the grace that drains have
 BOARD_RETRY_S, BOARD_RETRY_MOST_S = 0.05, 0.5
 BOARD_LINE_MOST = 4_194_304
 LOGGED_US = 1_000_000  # a stall of so long is worth a line
@@ -65,6 +66,7 @@
         self._armed: int | None = None
         self._board_conn: Any = None
         self._board_wake = Flag()
+        self._board_said = 0.0  # when it was last heard, or asked
         self._stop = Flag()
 
     # Life
@@ -83,9 +85,10 @@
         gc.freeze()
         gc.set_threshold(20_000, 20, 50)
         self.pulse.start()
-        accepting = gevent.spawn(self._accept, listener)
         for loop in (self._clock, self._watch):
             gevent.spawn(loop)
+        self._catch_up()
+        accepting = gevent.spawn(self._accept, listener)
         log("serves", name=c.name, listen=where, machines=len(self.core.links.machines))
         self._stop.wait()
         log("leaves", open=self.core.owed.open_tasks, standing=len(self.core.owed.tasks))
@@ -330,8 +333,9 @@
             pass
         finally:
             stream.read_out.set()
-            self._machine_gone(stream)
+            # Danger: told first, the core would send what was out on it elsewhere while it is still open.
             stream.close()
+            self._machine_gone(stream)
 
     def _machine_gone(self, stream: Stream) -> None:
         if self.machines.pop(stream.number, None) is not None:
@@ -345,6 +349,20 @@
 
     # The board
 
+    def _catch_up(self) -> None:
+        """Danger: ``known`` was written before the process had loaded; what was told since, drains among it,
+        comes with the board's first lines, and a task placed before them may go to a machine that leaves.
+        Connections wait unaccepted meanwhile, not longer than the board may be silent: one that never speaks
+        must not keep a planner out of service.
+        """
+        until = time.monotonic() + BOARD_SILENT_S
+        while not self._stop.is_set() and (now := time.monotonic()) < until:
+            quiet = now - self._board_said if self._board_said else 0.0
+            if quiet >= BOARD_QUIET_S:
+                return
+            gevent.sleep(min(BOARD_QUIET_S - quiet, until - now))
+        self.core.ground.count("began_without_board")
+
     def _board_again(self) -> None:
         """Leave the connection that is there, and dial at once."""
         self._board_wake.set()
@@ -376,6 +394,7 @@
             self._board_conn = conn
             conn.settimeout(BOARD_SILENT_S)
             conn.sendall(b"watch %d\n" % self.board.rev)
+            self._board_said = time.monotonic()
             lines = jsonlines.Lines(BOARD_LINE_MOST)
             last = time.monotonic()
             while where == self.board_address:
@@ -384,7 +403,7 @@
                 if not data:
                     break
                 for line in lines.feed(data):
-                    last = time.monotonic()
+                    last = self._board_said = time.monotonic()
                     notice, missed = self.board.take(jsonlines.parsed(line))
                     heard = True
                     if notice is not None:
--- a/stairplank/platform/streams.py
+++ b/stairplank/platform/streams.py
@@ -80,8 +80,8 @@
 
     def _fail(self) -> None:
         if not self.closed:
-            self._gone(self)
             self.close(hard=True)
+            self._gone(self)
 
     def close(self, hard: bool = False) -> None:
         """``hard``: nothing written so far need arrive."""
--- a/tests/platform/test_platform_links.py
+++ b/tests/platform/test_platform_links.py
@@ -245,3 +245,43 @@
     assert link in desk.hung
     desk.passes(300_000)
     assert set(desk.up.values()) == {"127.8.1.99:2905"}
+
+
+def test_a_lost_connection_is_not_counted_among_those_that_are_closing() -> None:
+    desk = Desk(machines=3)
+    conn = desk.owner()
+    desk.ask(conn, 1, "once")
+    desk.connect()
+    desk.feed(ev.LinkLost(desk.sent(1)[0][0], frozenset()))
+    assert not desk.core.links.closing
+
+
+def test_what_is_out_on_a_connection_that_is_closed_is_called_back_before_it_goes_elsewhere() -> None:
+    desk = Desk(machines=3)
+    conn = desk.owner()
+    desk.ask(conn, 1)
+    desk.connect()
+    link = desk.sent(1)[0][0]
+    desk.told(row(desk.machine_of(link), dial="127.8.1.99:2905"))  # a new address: the old connection goes
+    desk.connect()
+    words = [(k, m.kind, m.cause) for k, m in desk.out if m.id == name(1)]
+    assert words[1] == (link, RELEASE, int(Cause.ENDED)) and len(words) == 3
+    assert words[2][1] is Kind.SET_UP and words[2][0] != link
+
+
+def test_a_connection_with_a_set_up_out_is_not_closed_to_make_room() -> None:
+    desk = Desk(machines=1, sockets=6)  # two connections in all
+    conn = desk.owner()
+    for number in (1, 2, 3, 4):
+        left = "1000" if number < 3 else "6000"
+        desk.ask(conn, number, "once", left=left, extras=f"cores:0.5;memory:1;service:{number:016x}")
+        desk.connect()
+    link = desk.sent(3)[0][0]
+    desk.passes(3_500_000)  # the others' answers did not come: both connections are of no more use
+    assert link in desk.up and desk.core.links.links[link].suspect
+    desk.ask(conn, 5, "once", extras="cores:0.5;memory:1;service:0000000000000005")
+    assert desk.core.links.machines[desk.core.links.links[link].machine].waiting
+    desk.passes(100_000)
+    assert link in desk.up
+    desk.machine(link, Message(ANSWER, name(3), body="b"))
+    assert [w[1] for w in desk.words(3)] == [ANSWER]
--- /dev/null
+++ b/tests/platform/test_platform_service.py
@@ -0,0 +1,94 @@
+"""The service's own order of things, in the process: what it closes, reads and waits for before it goes on."""
+
+from __future__ import annotations
+
+import json
+import time
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import gevent
+import pytest
+from gevent import socket as gsocket
+from platform_config import CONFIG
+
+from stairplank.platform import events as ev
+from stairplank.platform import service as module
+from stairplank.platform.service import Service
+
+
+@pytest.fixture
+def service(tmp_path: Path) -> Iterator[Service]:
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(CONFIG))
+    made = Service(str(path))
+    yield made
+    for stream in [*made.machines.values(), *made.owners.values()]:
+        stream.close(hard=True)
+
+
+def hears(service: Service, monkeypatch: pytest.MonkeyPatch, note: Any) -> None:
+    monkeypatch.setattr(service, "feed", lambda *events: [note(event) for event in events])
+
+
+def test_a_spoilt_connection_is_closed_before_the_core_hears_of_it(
+    service: Service, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    ours, theirs = gsocket.socketpair()
+    monkeypatch.setattr(module.address, "dial", lambda where, wait: ours)
+    closed: list[bool] = []
+    hears(service, monkeypatch, lambda e: closed.append(ours.closed) if isinstance(e, ev.LinkLost) else None)
+    service.dialling[7] = gevent.spawn(service._machine, 7, "127.0.0.1:1")
+    theirs.sendall(b"noise\n")
+    service.dialling[7].join(5)
+    assert closed == [True]
+    theirs.close()
+
+
+def test_a_connection_that_cannot_be_written_is_closed_before_the_core_hears_of_it(
+    service: Service, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    ours, theirs = gsocket.socketpair()
+    stream = service.machines[7] = module.Stream(ours, 7, service._machine_gone)
+    closed: list[bool] = []
+    hears(service, monkeypatch, lambda e: closed.append(stream.closed))
+    stream.put(b"x" * 100_000)
+    assert closed == [True]
+    theirs.close()
+
+
+def test_nothing_is_taken_before_the_board_has_said_what_came_since_the_file_was_written(
+    service: Service, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(module, "BOARD_QUIET_S", 0.05)
+    order: list[str] = []
+
+    def watch() -> None:
+        service._board_said = time.monotonic()
+        order.append("watched")
+        for _ in range(3):
+            gevent.sleep(0.02)
+            order.append("told")
+            service._board_said = time.monotonic()
+        gevent.sleep(30)
+
+    def accept(listener: object) -> None:
+        order.append("accepts")
+        service.stop()
+
+    monkeypatch.setattr(service, "_watch", watch)
+    monkeypatch.setattr(service, "_accept", accept)
+    assert service.run() == 0
+    assert order == ["watched", "told", "told", "told", "accepts"]
+
+
+def test_a_board_that_never_speaks_keeps_no_planner_out_of_service(
+    service: Service, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(module, "BOARD_SILENT_S", 0.05)
+    monkeypatch.setattr(service, "_watch", lambda: gevent.sleep(30))
+    monkeypatch.setattr(service, "_accept", lambda listener: service.stop())
+    with gevent.Timeout(5):
+        assert service.run() == 0
+    assert service.core.counts["began_without_board"] == 1
