A standing machine is dialled anew every 4 s, and looks, reads and ranks cost less

Change: REFRESH_US 4 s; reason from the protocol: what stood at a vanished machine is due 8 s after its end, and refresh, dial time-out, DEAD_US and looks come to 7.3 s. A machine of which nothing is awaited is looked at in one of five looks. A connection is read up to four times in a row before it yields. Scope hashes as an object; _place and rests build nothing.

--- a/stairplank/decide.py
+++ b/stairplank/decide.py
@@ -226,7 +226,7 @@
             self.streak = max(0.0, self.streak - 1)
 
     def rests(self, now: int) -> bool:
-        return now < self.rest_until or any(now < until for until in self.blamed.values())
+        return now < self.rest_until or bool(self.blamed) and any(now < t for t in self.blamed.values())
 
     def turned_away(self, task: api.Task, now: int) -> None:
         """Danger: a node may turn away one class or tenant alone, slowly; the others' use of it stands."""
@@ -572,7 +572,9 @@
         return node.cold_used < turn and out < COLD_OUT_MOST * (1 + COLD_RAMP * since / self.s.cold_us)
 
     def _place(self, scope: api.Scope, node: int, group: int, zone: int) -> int:
-        return {api.Scope.NODE: node, api.Scope.GROUP: group, api.Scope.ZONE: zone}.get(scope, 0)
+        if scope is api.Scope.NODE:
+            return node
+        return group if scope is api.Scope.GROUP else zone if scope is api.Scope.ZONE else 0
 
     def _spread_allows(self, task: api.Task, sort: api.TaskClass, node: Node) -> bool:
         """Rule 5: pending, placed and adopted tasks of the service in the place all count."""
--- a/stairplank/interface.py
+++ b/stairplank/interface.py
@@ -21,6 +21,8 @@
 class Scope(Enum):
     """A set of nodes seen from one of them: the node alone, its group, its zone, or every node."""
 
+    __hash__ = object.__hash__  # the enum's own is computed anew from the name at each look-up
+
     NONE = "none"
     NODE = "node"
     GROUP = "group"
--- a/stairplank/platform/links.py
+++ b/stairplank/platform/links.py
@@ -33,7 +33,10 @@
 from .tables import Attempt, Link, Test
 
 LOOK_US = 100_000
-REFRESH_US = 2_500_000
+LOOKS = 5  # a machine of which nothing is awaited is looked at in one of so many
+# What stood at a machine that has vanished is due to its owners 8 s after its end: this wait, a dial's
+# time-out, DEAD_US and the looks come to 7.3 s. Danger: each planner dials nearly every machine so often.
+REFRESH_US = 4_000_000
 SPARE_US = 4_000_000  # a connection without use is closed then
 RETRY_US, RETRY_MOST_US = 100_000, 800_000  # between dials that failed
 DEAD_US = 2_500_000
@@ -84,6 +87,7 @@
         self.links: dict[int, Link] = {}
         self.closing: dict[int, int] = {}  # connections that are read on, and their machines
         self.links_most = sockets // 3
+        self._looks = 0
         self.dial_timeout_us = dial_timeout_us
 
     def start(self) -> None:
@@ -351,8 +355,12 @@
 
     def _look(self, _: None) -> None:
         self.ground.at(self.ground.now + LOOK_US, self._look)
+        self._looks += 1
+        turn = self._looks % LOOKS
         for machine in list(self.machines.values()):
-            self._look_at(machine)
+            awaited = machine.waiting or machine.failing_since or machine.gone_at or not machine.links
+            if awaited or machine.id % LOOKS == turn:
+                self._look_at(machine)
 
     def _look_at(self, machine: Machine) -> None:
         now = self.ground.now
--- a/stairplank/platform/service.py
+++ b/stairplank/platform/service.py
@@ -26,6 +26,7 @@
 BACKLOG = 1024
 READ = 16_384  # at once of one connection: a burst of one delays the others by no more than reading it
 MACHINE_READ = DRAIN_READ = 65_536
+READS = 4  # of one connection in a row: one that sends at full speed would be read for ever, and nobody else
 SLICE_S = 0.01  # of turns, before all that has come meanwhile is read: far under the grace that drains have
 POLL_S = 1e-6  # a wait that lets the loop look at the sockets: sleep(0) may come back without a look
 PARTIAL_S = 2.0  # a message that has begun comes whole by then, or its connection is of no use
@@ -273,7 +274,7 @@
             self.accepted.discard(stream)
 
     def _read_owner(self, stream: Stream) -> None:
-        sock, reader, began = stream.sock, binary.Reader(), 0.0
+        sock, reader, began, reads = stream.sock, binary.Reader(), 0.0, 0
         while not stream.closed:
             if not reader.waiting:
                 began = time.monotonic()
@@ -293,7 +294,9 @@
                     self._said(stream, error.messages)  # type: ignore[attr-defined]
                     self._end_owner(stream.number)
             # Danger: one that sends at full speed would be read for ever, and nobody else.
-            gevent.sleep(0)
+            reads += 1
+            if reads % READS == 0:
+                gevent.sleep(0)
             while self._inbox.is_full() and not stream.ending:
                 gevent.sleep(SLICE_S)
 
@@ -328,7 +331,7 @@
         stream = self.machines[link] = Stream(sock, link, self._machine_gone)
         self.feed(ev.LinkUp(link))
         lines = jsonlines.Lines()
-        began = 0.0
+        began, reads = 0.0, 0
         try:
             while not stream.closed:
                 if not lines.waiting:
@@ -352,7 +355,9 @@
                 if bad:
                     self.core.ground.count("spoilt_links")
                     break
-                gevent.sleep(0)
+                reads += 1
+                if reads % READS == 0:  # else the next read mostly waits, and the others have their turn
+                    gevent.sleep(0)
         except (OSError, TimeoutError):
             pass
         finally:
