--- a/stairplank/platform/links.py
+++ b/stairplank/platform/links.py
@@ -54,6 +54,7 @@
     def broken(self, thing: Attempt | Test) -> None: ...
     def called_back(self, thing: Attempt | Test) -> None: ...
     def machine_lost(self, machine: int, before: int | None = None) -> None: ...
+    def may_leave(self, thing: Attempt | Test) -> bool: ...
     def message_of(self, thing: Attempt | Test) -> Message: ...
     def said(self, machine: int, link: int, message: Message) -> None: ...
     def test(self, test: Test) -> None: ...
@@ -66,6 +67,7 @@
     address: str
     launched: int
     status: api.NodeStatus
+    place: tuple[int, int]  # its zone and group
     links: dict[int, Link] = field(default_factory=dict)
     waiting: deque[Attempt | Test] = field(default_factory=deque)
     words: dict[str, Message] = field(default_factory=dict)
@@ -102,6 +104,10 @@
         known = self.machines.get(machine)
         return known is not None and known.status is api.NodeStatus.READY
 
+    def place_of(self, machine: int) -> tuple[int, int] | None:
+        known = self.machines.get(machine)
+        return known.place if known is not None else None
+
     @property
     def pool_most(self) -> int:
         return max(POOL_LEAST, min(POOL_MOST, self.links_most // max(1, len(self.machines))))
@@ -129,13 +135,14 @@
             if len(self.machines) >= MACHINES_MOST:
                 self.ground.count("machines_beyond")
                 return False
-            machine = Machine(entry.id, row.name, row.address, entry.launched_us, entry.status)
+            place = (entry.zone, entry.group)
+            machine = Machine(entry.id, row.name, row.address, entry.launched_us, entry.status, place)
             self.machines[entry.id] = machine
             self.names[row.name] = entry.id
         elif entry.launched_us > machine.launched:
             machine.launched = entry.launched_us
             self.out.machine_lost(machine.id, before=entry.launched_us)
-        machine.status = entry.status
+        machine.status, machine.place = entry.status, (entry.zone, entry.group)
         machine.gone_at = 0
         if machine.address != row.address:
             machine.address = row.address
@@ -197,6 +204,12 @@
             self._dial(machine)
 
     def _write(self, link: Link, thing: Attempt | Test) -> None:
+        """Danger: what was decided a dial or a break ago may not leave now: the machine drains by this time,
+        has started in another group, or the window in which a repeat is dropped is over."""
+        if not self.out.may_leave(thing):
+            self.ground.count("may_not_leave")
+            self.out.unreachable(thing, api.Result.NOT_SENT)
+            return
         link.open[thing.id] = thing
         link.used = self.ground.now
         self.out.written(thing, link.number)
@@ -251,7 +264,7 @@
         words, machine.words = machine.words, {}
         for message in words.values():
             self.ground.emit(ev.SayMachine(link.number, message))
-        if machine.waiting:
+        while machine.waiting and not link.open:
             self._write(link, machine.waiting.popleft())
 
     def failed(self, event: ev.LinkFailed) -> None:
@@ -378,8 +391,11 @@
                     self._break(min(idle, key=lambda k: k.opened))
             if self._may_dial(machine) or not ups:
                 self._dial(machine)
-        elif machine.waiting and not dialling and now >= machine.dial_at and (
-            not ups or self._may_dial(machine)
+        elif (
+            machine.waiting
+            and not dialling
+            and now >= machine.dial_at
+            and (not ups or self._may_dial(machine))
         ):
             self._dial(machine)
         for link in ups:
--- a/stairplank/platform/out.py
+++ b/stairplank/platform/out.py
@@ -60,6 +60,7 @@
     def say(self, machine: int, message: Message, link: int = 0, *, keep: bool = False) -> None: ...
     def done(self, thing: Attempt | Test, *, silent: bool = False) -> None: ...
     def is_open_to(self, machine: int) -> bool: ...
+    def place_of(self, machine: int) -> tuple[int, int] | None: ...
     def stands(self, machine: int, by: int) -> None: ...
     def named(self, name: str) -> int | None: ...
 
@@ -101,18 +102,21 @@
             return
         now = self.ground.now
         due = min(now + action.timeout_us, task.expires) if action.timeout_us else task.expires
-        attempt = Attempt(task, task.shots, action.node, now, due)
+        attempt = Attempt(task, task.shots, action.node, now, due, place=self.links.place_of(action.node))
         task.shots += 1
         if task.out is not None or task.fate is not Fate.OPEN:
             self._told(attempt, api.Result.NOT_SENT)
             return
+        # Danger: of an earlier attempt under this id at this machine a word may be on its way; taken for the
+        # new one's, a late "full" would prove that what runs there never did.
+        if (action.node, task.id) in self.at:
+            self.ground.count("same_again")
+            self._told(attempt, api.Result.NOT_SENT)
+            return
         if not self.links.is_open_to(action.node) or now >= due:
             self._told(attempt, api.Result.NOT_SENT)
             return
         task.out = attempt
-        old = self.at.get((action.node, task.id))
-        if old is not None:
-            self._forget(old)
         self.at[action.node, task.id] = attempt
         self.under_way += 1
         self.ground.count("binds")
@@ -143,6 +147,17 @@
         self.ground.at(test.began + TEST_US, self._test_over, test)
         self.links.send(test)
 
+    def may_leave(self, thing: Attempt | Test) -> bool:
+        """Whether it may still go to its machine, now."""
+        if isinstance(thing, Test):
+            return True
+        sort = self.settings.classes[thing.task.set_up.class_index]
+        if not self.links.is_open_to(thing.machine) or self.links.place_of(thing.machine) != thing.place:
+            return False
+        if sort.effect is not api.Effect.KEYED or not thing.task.risk_at:
+            return True
+        return self.ground.now + 2 * self.settings.tick_us < thing.task.risk_at + sort.window_us
+
     def message_of(self, thing: Attempt | Test) -> Message:
         """What is written for it, now."""
         if isinstance(thing, Test):
@@ -386,8 +401,8 @@
             task.out = None
         closed = closed or task.fate is not Fate.OPEN
         took = self.ground.now - attempt.began
-        if result not in api.PROVES_NOT_RUN:
-            task.proven = False
+        if result not in api.PROVES_NOT_RUN and task.proven:
+            task.proven, task.risk_at = False, attempt.began
         self.ground.feed(
             api.Outcome(task.number, attempt.shot, attempt.machine, result, closed, reason, took, report)
         )
--- a/stairplank/platform/owed.py
+++ b/stairplank/platform/owed.py
@@ -15,7 +15,10 @@
    age. An owner's wait is cut to its class's deadline: nothing is remembered for longer than that on its
    word.
 
-Tables: ``tasks`` by id, ``numbers`` by the module's number, ``conns``, ``clients``, ``kept``.
+6. An id that was withdrawn while an attempt of it may have run, and that may not be repeated, is not placed
+   anew: sent again, it is failed at once (``unproven``, for ``UNPROVEN_US``, at most ``UNPROVEN_MOST``).
+
+Tables: ``tasks`` by id, ``numbers`` by the module's number, ``conns``, ``clients``, ``kept``, ``unproven``.
 """
 
 from __future__ import annotations
@@ -47,6 +50,7 @@
 ADOPTED_US = 3_600_000_000  # an adopted task of which no machine said a word is forgotten
 ADOPTED_SWEEP_US = 60_000_000
 OPEN_BYTES_MOST = 4_194_304  # of the descriptions of open tasks
+UNPROVEN_MOST, UNPROVEN_US = 8192, 60_000_000  # ids kept of tasks that were withdrawn and may have run
 
 
 class Out(Protocol):
@@ -80,6 +84,7 @@
         self.conns: dict[int, Conn] = {}
         self.clients: dict[str, dict[int, None]] = {}
         self.kept: deque[tuple[int, str, Message]] = deque()
+        self.unproven: dict[str, int] = {}  # id: when it is forgotten, in that order
         self.open_tasks = 0
         self.open_of: dict[str, int] = {}  # client: tasks of it that are open
         self.open_bytes = 0
@@ -131,6 +136,8 @@
         while self.kept and (self.kept[0][0] < now - KEPT_US or len(self.kept) > KEPT_MOST):
             self.kept.popleft()
             self.ground.count("releases_dropped")
+        while self.unproven and (first := next(iter(self.unproven))) and self.unproven[first] <= now:
+            del self.unproven[first]
         for conn in list(self.conns.values()):
             while conn.unheard and conn.unheard[0][0] < now - UNHEARD_US:
                 conn.unheard.popleft()
@@ -210,6 +217,10 @@
         if set_up.at:
             self._adopt(conn, set_up, message)
             return
+        if message.id in self.unproven:
+            # Danger: the same task again, after its connection broke: taken as new, it would run twice.
+            self._complain(conn, message.id, Cause.RESET, "unproven")
+            return
         full = admission.no_room(
             self.open_tasks, self.open_of.get(conn.client, 0), len(self.tasks), door.BOUNDS
         )
@@ -327,6 +338,12 @@
     def _withdraw(self, task: Task) -> None:
         """Nobody waits for it any more."""
         self.ground.count("withdrawn")
+        out = task.out is not None and task.out.stage is Stage.OUT
+        effect = self.settings.classes[task.set_up.class_index].effect
+        if effect is not api.Effect.REPEATABLE and (out or not task.proven):
+            self.unproven[task.id] = self.ground.now + UNPROVEN_US
+            if len(self.unproven) > UNPROVEN_MOST:
+                del self.unproven[next(iter(self.unproven))]
         self._over(task, Fate.FAILED)
         self.ground.feed(api.TaskWithdrawn(task.number))
         self.out.withdrawn(task)
--- a/stairplank/platform/tables.py
+++ b/stairplank/platform/tables.py
@@ -77,6 +77,7 @@
     shots: int = 0
     out: Attempt | None = None  # the one under way, or the one that stands
     proven: bool = True  # every attempt that ended is proven not to have run
+    risk_at: int = 0  # when the first one that may have run began
 
 
 @dataclass(slots=True, eq=False)
@@ -89,6 +90,7 @@
     stage: Stage = Stage.WAITING
     link: int = 0
     until: int = 0  # a leftover is forgotten then
+    place: tuple[int, int] | None = None  # its machine's zone and group as it was bound
 
     @property
     def id(self) -> str:
--- /dev/null
+++ b/tests/platform/drawn_days.py
@@ -0,0 +1,253 @@
+"""Days in drawn order for the platform's core, and a checker of rules 1 to 3 on what the core says.
+
+The checker keeps its own books from the messages alone; it knows nothing of the core's tables.
+"""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass, field
+
+from desk import SECOND, Desk, name, row
+
+from stairplank import interface as api
+from stairplank.platform import events as ev
+from stairplank.platform.messages import Cause, Kind, Message
+
+STEP = 10_000
+SORTS = ("repeat", "keyed", "once", "keyed-all")
+LATE = 100_000  # an answer so long after its time is late
+
+
+@dataclass
+class Copy:
+    """A set-up that went to a machine: out until an end is written or it is given up."""
+
+    machine: int
+    link: int
+    at: int
+    out: bool = True
+    may_have_run: bool = True
+    stands: bool = False
+
+
+@dataclass
+class Asked:
+    sort: str
+    conn: int
+    due: int
+    copies: list[Copy] = field(default_factory=list)
+    answer: str = ""
+    waived: bool = False  # its owner has gone or given it up
+
+
+class Checker:
+    def __init__(self, classes: tuple[api.TaskClass, ...]) -> None:
+        self.classes = {c.name: c for c in classes}
+        self.asked: dict[str, Asked] = {}
+        self.draining: set[int] = set()
+        self.faults: list[str] = []
+
+    def sends(self, id: str, machine: int, link: int, now: int) -> None:
+        task = self.asked[id]
+        sort = self.classes[task.sort]
+        if machine in self.draining:
+            self.faults.append(f"drain: {id} to {machine}")
+        if any(c.out for c in task.copies) or any(c.stands for c in task.copies):
+            self.faults.append(f"copy: {id} beside one that is out")
+        risky = [c for c in task.copies if c.may_have_run]
+        if risky and sort.effect is api.Effect.ONCE:
+            self.faults.append(f"again: {id} may have run")
+        if risky and sort.effect is api.Effect.KEYED:
+            first = risky[0]
+            if now > first.at + sort.window_us:
+                self.faults.append(f"window: {id}")
+            if sort.dedup_scope is api.Scope.GROUP and machine // 3 != first.machine // 3:
+                self.faults.append(f"group: {id}")
+        if task.waived or task.answer:
+            self.faults.append(f"unasked: {id}")
+        task.copies.append(Copy(machine, link, now))
+
+    def ends(self, id: str, link: int, proof: bool = False) -> None:
+        """The machine's word, its connection's end, or the planner's giving up."""
+        for copy in self.asked[id].copies if id in self.asked else ():
+            if copy.link == link and copy.out:
+                copy.out = False
+                copy.may_have_run = not proof
+
+    def breaks(self, link: int, unsent: frozenset[str] = frozenset()) -> None:
+        for id in self.asked:
+            self.ends(id, link, id in unsent)
+
+    def says(self, id: str, message: Message, now: int) -> None:
+        task = self.asked.get(id)
+        if task is None or message.kind not in (Kind.ANSWER, Kind.RELEASE):
+            return
+        if message.kind is Kind.RELEASE and task.answer in ("stands", "over"):
+            task.answer = "over"  # and again, where the connection broke on which it was said
+            return
+        if task.answer:
+            self.faults.append(f"second answer: {id}")
+        if now > task.due + LATE:
+            self.faults.append(f"late: {id}")
+        task.answer = "stands" if message.kind is Kind.ANSWER else "refused"
+        effect, scope = self.classes[task.sort].effect, self.classes[task.sort].dedup_scope
+        harmless = effect is api.Effect.REPEATABLE or (effect is api.Effect.KEYED and scope is api.Scope.ALL)
+        if message.cause == Cause.BUSY and not harmless and any(c.may_have_run for c in task.copies):
+            self.faults.append(f"refused: {id} may have run")
+
+    def finish(self, now: int) -> None:
+        for id, task in self.asked.items():
+            if not task.answer and not task.waived and now > task.due + LATE:
+                self.faults.append(f"lost: {id}")
+
+
+class DrawnDay(Desk):
+    """One day: what happens next, and where, is drawn from the seed."""
+
+    def __init__(self, seed: int, machines: int = 9) -> None:
+        self.rng = random.Random(seed)
+        self.checker: Checker | None = None
+        super().__init__(machines=machines, sockets=240)
+        self.checker = Checker(self.settings.classes)
+        self.machines = dict.fromkeys(range(1, machines + 1), "SERVING")
+        self.todo: list[tuple[int, int, str]] = []  # when a machine speaks of a set-up: at, link, id
+        self.number = 0
+        self.next_machine = machines + 1
+        self.conns = [self.owner() for _ in range(3)]
+
+    def _take(self, actions: list[ev.Action]) -> None:
+        super()._take(actions)
+        check = self.checker
+        if check is None:
+            return
+        for action in actions:
+            match action:
+                case ev.SayMachine(link, Message(kind=Kind.SET_UP) as message):
+                    check.sends(message.id, self.machine_of(link), link, self.now)
+                    self.todo.append((self.now + self.rng.randrange(1_500_000), link, message.id))
+                case ev.SayMachine(link, Message(kind=Kind.RELEASE) as message):
+                    check.ends(message.id, link)
+                case ev.HangUp(link):
+                    check.breaks(link)
+                case ev.SayOwner(_, message):
+                    check.says(message.id, message, self.now)
+
+    # What may happen
+
+    def asks(self) -> None:
+        assert self.checker is not None
+        self.number += 1
+        sort, conn = self.rng.choice(SORTS), self.rng.choice(self.conns)
+        left = self.rng.choice((900, 3000, 6000))
+        self.checker.asked[name(self.number)] = Asked(sort, conn, self.now + left * 1000)
+        self.ask(conn, self.number, sort, left=str(left), extras=self.extras_of(name(self.number)))
+
+    def owner_leaves(self) -> None:
+        """And sends again, under the same ids, what it had open."""
+        assert self.checker is not None
+        conn = self.rng.choice(self.conns)
+        self.conns.remove(conn)
+        mine = {i: t for i, t in self.checker.asked.items() if t.conn == conn}
+        mine = {i: t for i, t in mine.items() if not t.answer and not t.waived}
+        first = self.rng.random() < 0.5
+        if first:
+            self.feed(ev.OwnerLeft(conn))
+        self.conns.append(self.owner())
+        for id, task in mine.items():
+            task.conn = self.conns[-1]
+            left = max(1, (task.due - self.now) // 1000)
+            self.ask(self.conns[-1], int(id, 16), task.sort, left=str(left), extras=self.extras_of(id))
+        if not first:
+            self.feed(ev.OwnerLeft(conn))
+
+    def extras_of(self, id: str) -> str:
+        return f"cores:1;memory:2;service:{int(id, 16) % 9:016x}"
+
+    def gives_up(self) -> None:
+        assert self.checker is not None
+        for id, task in self.checker.asked.items():
+            if not task.answer and not task.waived:
+                task.waived = True
+                self.feed(ev.OwnerSaid(task.conn, Message(Kind.RELEASE, id, cause=int(Cause.ENDED))))
+                return
+
+    def drains(self) -> None:
+        serving = [n for n, state in self.machines.items() if state == "SERVING"]
+        if len(serving) > 4:
+            machine = self.rng.choice(serving)
+            state = self.rng.choice(("DRAINING", "DELETED"))
+            self.machines[machine] = state
+            self.told(row(machine, state))
+            assert self.checker is not None
+            self.checker.draining.add(machine)
+
+    def comes(self) -> None:
+        machine, self.next_machine = self.next_machine, self.next_machine + 1
+        self.machines[machine] = "SERVING"
+        self.told(row(machine))
+
+    def restarts(self) -> None:
+        serving = [n for n, state in self.machines.items() if state == "SERVING"]
+        self.told(row(self.rng.choice(serving), born_ms=1_000_000 + self.now // 1000))
+
+    def breaks(self) -> None:
+        if not self.up:
+            return
+        assert self.checker is not None
+        link = self.rng.choice(list(self.up))
+        out = [i for i, t in self.checker.asked.items() if any(c.link == link and c.out for c in t.copies)]
+        unsent = frozenset(out[-1:]) if self.rng.random() < 0.3 else frozenset()
+        self.up.pop(link)
+        self.checker.breaks(link, unsent)
+        self.feed(ev.LinkLost(link, unsent))
+
+    def speaks(self) -> None:
+        """Machines answer, refuse, fail or say nothing to what is due."""
+        assert self.checker is not None
+        due = [t for t in self.todo if t[0] <= self.now]
+        self.todo = [t for t in self.todo if t[0] > self.now]
+        for _, link, id in due:
+            if link not in self.up:
+                continue
+            word = self.rng.choice(("answer", "answer", "full", "moot", "error", "reset", "ended", "nothing"))
+            copy = next(c for c in self.checker.asked[id].copies if c.link == link)
+            if word == "answer":
+                if copy.out:
+                    copy.out, copy.stands = False, True
+                self.machine(link, Message(Kind.ANSWER, id, body="stands"))
+                self.todo.append((self.now + self.rng.randrange(3 * SECOND), link, id))
+            elif word != "nothing":
+                cause = {"full": 34, "moot": 102, "error": 47, "reset": 41, "ended": 16}[word]
+                proof = word in ("full", "moot") and not copy.stands
+                if copy.stands:
+                    copy.stands = False
+                else:
+                    self.checker.ends(id, link, proof)
+                self.machine(link, Message(Kind.RELEASE, id, cause=cause))
+
+    def play(self, steps: int = 1500) -> list[str]:
+        """The faults of the day."""
+        assert self.checker is not None
+        rare = (self.owner_leaves, self.gives_up, self.drains, self.comes, self.restarts, self.breaks)
+        for _ in range(steps):
+            self.feed(after=STEP)
+            for link in list(self.dials):
+                if self.rng.random() < 0.9:
+                    self.up[link] = self.dials.pop(link)
+                    self.feed(ev.LinkUp(link))
+                else:
+                    del self.dials[link]
+                    self.feed(ev.LinkFailed(link, self.rng.random() < 0.5))
+            self.speaks()
+            if self.rng.random() < 0.25:
+                self.asks()
+            if self.rng.random() < 0.06:
+                self.rng.choice(rare)()
+        end = max(t.due for t in self.checker.asked.values()) + SECOND
+        while self.now < end:
+            self.feed(after=50_000)
+            self.connect()
+            self.speaks()
+        self.checker.finish(self.now)
+        return self.checker.faults
--- /dev/null
+++ b/tests/platform/test_platform_drawn.py
@@ -0,0 +1,81 @@
+"""Drawn days keep rules 1 to 3, and the checker finds the faults that are planted."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import pytest
+from drawn_days import DrawnDay
+
+from stairplank import interface as api
+from stairplank.platform import links, out, owed
+
+SEEDS = range(12)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_no_rule_is_broken_on_a_drawn_day(seed: int) -> None:
+    day = DrawnDay(seed)
+    assert day.play() == []
+    assert day.checker is not None
+    answers = [task.answer for task in day.checker.asked.values()]
+    assert answers.count("stands") + answers.count("over") > 20 and answers.count("refused") > 20
+
+
+Plant = Callable[[pytest.MonkeyPatch], None]
+
+
+def drains_are_not_looked_at(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(links.Links, "is_open_to", lambda self, machine: machine in self.machines)
+    patch.setattr(links.Links, "_drop_waiting", lambda self, machine: None)
+    patch.setattr(out.Out, "may_leave", lambda self, thing: True)
+
+
+def what_waits_leaves_unchecked(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(out.Out, "may_leave", lambda self, thing: True)
+
+
+def a_broken_connection_is_taken_for_proof(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(out.Out, "broken", lambda self, thing: self._over(thing, api.Result.NOT_SENT))
+
+
+def withdrawn_tasks_are_forgotten(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(owed, "UNPROVEN_MOST", 0)
+
+
+def the_same_id_goes_to_a_machine_again(patch: pytest.MonkeyPatch) -> None:
+    class Forgets(dict):  # type: ignore[type-arg]
+        def __contains__(self, key: object) -> bool:
+            return False
+
+    init = out.Out.__init__
+
+    def made(self: out.Out, *args: object) -> None:
+        init(self, *args)  # type: ignore[arg-type]
+        self.at = Forgets()
+
+    patch.setattr(out.Out, "__init__", made)
+    patch.setattr(owed, "UNPROVEN_MOST", 0)
+
+
+def refusals_are_not_told(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(owed.Owed, "refuse", lambda self, action: None)
+
+
+@pytest.mark.parametrize(
+    ("plant", "fault"),
+    [
+        (drains_are_not_looked_at, "drain"),
+        (what_waits_leaves_unchecked, "window"),
+        (a_broken_connection_is_taken_for_proof, "again"),
+        (withdrawn_tasks_are_forgotten, "again"),
+        (the_same_id_goes_to_a_machine_again, "copy"),
+        (refusals_are_not_told, "lost"),
+    ],
+)
+def test_the_checker_finds_what_is_planted(plant: Plant, fault: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    plant(monkeypatch)
+    for seed in SEEDS:
+        if any(found.startswith(fault) for found in DrawnDay(seed).play()):
+            return
+    pytest.fail("not found")
--- a/tests/platform/test_platform_links.py
+++ b/tests/platform/test_platform_links.py
@@ -285,3 +285,26 @@
     assert link in desk.up
     desk.machine(link, Message(ANSWER, name(3), body="b"))
     assert [w[1] for w in desk.words(3)] == [ANSWER]
+
+
+def test_a_set_up_that_goes_again_does_not_go_to_a_machine_that_drains_by_now() -> None:
+    desk = Desk(machines=1)
+    conn = desk.owner()
+    for number in (1, 2):
+        desk.ask(conn, number, extras=f"cores:0.5;memory:1;service:{number:016x}")
+        desk.connect()
+    first = desk.sent(1)[0][0]
+    assert desk.sent(2)[0][0] != first
+    desk.told(row(1, "DRAINING"))
+    desk.feed(ev.LinkLost(first, frozenset({name(1)})))  # not every byte of it had left
+    desk.passes(300_000)
+    assert len(desk.sent(1)) == 1
+
+
+def test_a_set_up_that_waits_does_not_leave_for_a_machine_that_has_changed_its_group() -> None:
+    desk = Desk(machines=1)
+    conn = desk.owner()
+    desk.ask(conn, 1, "keyed")
+    desk.told(row(1, block=7))
+    desk.connect()
+    assert desk.sent(1) == [] and desk.core.counts["may_not_leave"] == 1
