Nothing is closed or left while a set-up that was read waits; the turns wait between slices

Now a planner leaves once the inbox is empty after another look at the sockets, and a connection is neither swept nor spared while a set-up of it waits.

The poll between slices was a wait of 1 us, which epoll takes for none, so a planner with work never waited: POLL_S is 1 ms now, SLICE_S 20 ms. That this was the cause is a guess.

--- a/stairplank/platform/inbox.py
+++ b/stairplank/platform/inbox.py
@@ -40,6 +40,10 @@
     def is_full(self) -> bool:
         return len(self) >= WAITING_MOST
 
+    def holds(self, conn: int) -> bool:
+        """Whether a set-up of that connection waits: read, and not yet handled."""
+        return conn in self._conns
+
     def add(self, event: ev.Event) -> None:
         match event:
             case ev.BoardTold():
--- a/stairplank/platform/owed.py
+++ b/stairplank/platform/owed.py
@@ -24,6 +24,7 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from hashlib import blake2b
 from typing import Protocol
@@ -88,6 +89,7 @@
         self.open_tasks = 0
         self.open_of: dict[str, int] = {}  # client: tasks of it that are open
         self.open_bytes = 0
+        self.unread: Callable[[int], bool] = lambda conn: False  # whether set-ups of it wait to be handled
         self.ready = False
         self.leaving_at = 0
 
@@ -141,7 +143,8 @@
         for conn in list(self.conns.values()):
             while conn.unheard and conn.unheard[0][0] < now - UNHEARD_US:
                 conn.unheard.popleft()
-            if conn.open or conn.closing:
+            # Danger: a set-up that was read and waits its turn would find its connection closed, and is lost.
+            if conn.open or conn.closing or self.unread(conn.number):
                 continue
             # Danger: connections that say nothing, or nothing of use, would take all descriptors.
             if not conn.said and conn.came < now - SILENT_US:
@@ -156,7 +159,7 @@
 
     def spare(self) -> int | None:
         """The connection that can best be done without: nothing under way, longest without a word of use."""
-        idle = [c for c in self.conns.values() if not c.open and not c.closing]
+        idle = [c for c in self.conns.values() if not c.open and not c.closing and not self.unread(c.number)]
         if not idle:
             return None
         conn = min(idle, key=lambda c: (c.standing > 0, c.said, c.came))
--- a/stairplank/platform/service.py
+++ b/stairplank/platform/service.py
@@ -27,8 +27,10 @@
 READ = 16_384  # at once of one connection: a burst of one delays the others by no more than reading it
 MACHINE_READ = DRAIN_READ = 65_536
 READS = 4  # of one connection in a row: one that sends at full speed would be read for ever, and nobody else
-SLICE_S = 0.01  # of turns, before all that has come meanwhile is read: far under the grace that drains have
-POLL_S = 1e-6  # a wait that lets the loop look at the sockets: sleep(0) may come back without a look
+SLICE_S = 0.02  # of turns, before all that has come meanwhile is read: far under the grace that drains have
+# A wait between slices. Danger: sleep(0) may come back without a look at the sockets, and one that never
+# waits while there is work counts as hung where many share a core.
+POLL_S = 0.001
 PARTIAL_S = 2.0  # a message that has begun comes whole by then, or its connection is of no use
 LINE_S = 1.0  # the same of a machine's line
 BOARD_SILENT_S = 1.5  # the board says its number each second
@@ -65,6 +67,7 @@
         self._inbox = Inbox()
         self._turn = Flag()
         self._unwritten: dict[int, set[str]] = {}  # for connections whose loss waits in the inbox
+        self.core.owed.unread = self._inbox.holds
         self.pulse = Pulse(self._inbox, self._wake)
         self._rearm = Flag()
         self._armed: int | None = None
@@ -98,9 +101,9 @@
         log("leaves", open=self.core.owed.open_tasks, standing=len(self.core.owed.tasks))
         self.feed(ev.StopAsked())
         with gevent.Timeout(LEAVE_MOST_S, False):  # type: ignore[arg-type]
-            while not self.core.owed.is_done():
-                gevent.sleep(0.02)
+            while not self._is_done():
                 self.feed(ev.Due())
+                gevent.sleep(0.02)
         accepting.kill()
         listener.close()
         for number in list(self.owners):  # the last answers leave: a plain exit may reset what is under way
@@ -111,6 +114,16 @@
         log("has left", **self.core.counts)
         return 0
 
+    def _is_done(self) -> bool:
+        """Danger: what has been read and waits its turn is owed an answer as well, and so is what still lies
+        in a socket: the turns look at those until nothing comes."""
+        if self._inbox or not self.core.owed.is_done():
+            return False
+        for _ in range(2):
+            gevent.sleep(POLL_S)
+            gevent.sleep(0)
+        return not self._inbox and self.core.owed.is_done()
+
     def stop(self) -> None:
         self._stop.set()
 
--- a/tests/platform/test_platform_core.py
+++ b/tests/platform/test_platform_core.py
@@ -701,3 +701,14 @@
     desk.now += 3 * SECOND
     desk._take(desk.core.woke(desk.now, [ev.MachineSaid(link, refusal), ev.BoardTold(drain)]))
     assert len(desk.sent(20)) == 1
+
+
+def test_a_connection_whose_set_up_waits_its_turn_is_not_closed() -> None:
+    desk = Desk()
+    conn, other = desk.owner(), desk.owner("127.8.240.3")
+    desk.core.owed.unread = lambda number: number == conn
+    desk.passes(3 * SECOND)
+    assert desk.closed == [other] and desk.core.owed.spare() is None
+    desk.core.owed.unread = lambda number: False
+    desk.passes(SECOND)
+    assert desk.closed == [other, conn]
--- a/tests/platform/test_platform_inbox.py
+++ b/tests/platform/test_platform_inbox.py
@@ -58,3 +58,11 @@
         assert not box.is_full()
         box.add(ev.OwnerSaid(1, set_up(number + 1)))
     assert box.is_full()
+
+
+def test_it_knows_whose_set_ups_wait() -> None:
+    box = Inbox()
+    box.add(ASK)
+    assert box.holds(1) and not box.holds(2)
+    box.take()
+    assert not box.holds(1)
--- a/tests/platform/test_platform_service.py
+++ b/tests/platform/test_platform_service.py
@@ -117,6 +117,8 @@
 ) -> None:
     """A burst of set-ups is read first; the drain that comes meanwhile is handled before most of them."""
     handled: list[str] = []
+    monkeypatch.setattr(module, "SLICE_S", 0.005)
+    service.pulse.start()
 
     def handle(now: int, batch: list[ev.Event]) -> list[ev.Action]:
         handled.extend(type(event).__name__ for event in batch)
@@ -133,3 +135,32 @@
             gevent.sleep(0.01)
     turns.kill()
     assert handled.index("BoardTold") <= 20
+
+
+def test_it_does_not_leave_while_something_that_was_read_waits(
+    service: Service, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(service.core.owed, "is_done", lambda: True)
+    service.feed(ev.OwnerSaid(1, Message(Kind.SET_UP, "00000000000000aa", {}, body="x")))
+    assert not service._is_done()
+    service._inbox.take_all()
+    gevent.spawn(service.feed, ev.OwnerLeft(1))  # comes as it looks at the sockets once more
+    assert not service._is_done()
+    service._inbox.take_all()
+    assert service._is_done()
+
+
+def test_the_turns_wait_between_slices(service: Service, monkeypatch: pytest.MonkeyPatch) -> None:
+    """One that never waits while there is work counts as hung."""
+    waits: list[float] = []
+    monkeypatch.setattr(module, "SLICE_S", 0.0)
+    real = gevent.sleep
+    monkeypatch.setattr(module.gevent, "sleep", lambda s=0.0: (waits.append(s), real(s)))
+    for number in range(1, 100):
+        service.feed(ev.OwnerSaid(1, Message(Kind.SET_UP, f"{number:016x}", {}, body="x")))
+    turns = gevent.spawn(service._turns)
+    with gevent.Timeout(10):
+        while len(service._inbox):
+            real(0.01)
+    turns.kill()
+    assert sum(1 for s in waits if s >= 0.001) >= 10
