--- a/tests/platform/test_platform_service.py
+++ b/tests/platform/test_platform_service.py
@@ -62,7 +62,7 @@
 def test_nothing_is_taken_before_the_board_has_said_what_came_since_the_file_was_written(
     service: Service, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr(module, "BOARD_QUIET_S", 0.05)
+    monkeypatch.setattr(module, "BOARD_QUIET_S", 1.0)
     order: list[str] = []
 
     def watch() -> None:
@@ -118,7 +118,7 @@
     """A burst of set-ups is read first; the drain that comes meanwhile is handled before most of them."""
     handled: list[str] = []
     monkeypatch.setattr(module, "SLICE_S", 0.005)
-    service.pulse.start()
+    monkeypatch.setattr(service.pulse, "late", lambda: False)
 
     def handle(now: int, batch: list[ev.Event]) -> list[ev.Action]:
         handled.extend(type(event).__name__ for event in batch)
@@ -154,6 +154,7 @@
     """One that never waits while there is work counts as hung."""
     waits: list[float] = []
     monkeypatch.setattr(module, "SLICE_S", 0.0)
+    monkeypatch.setattr(service.pulse, "late", lambda: False)
     real = gevent.sleep
     monkeypatch.setattr(module.gevent, "sleep", lambda s=0.0: (waits.append(s), real(s)))
     for number in range(1, 100):
