--- a/tests/platform/test_platform_bounds.py
+++ b/tests/platform/test_platform_bounds.py
@@ -9,7 +9,7 @@
 from gevent import socket as gsocket
 
 from stairplank.platform import events as ev
-from stairplank.platform import logs, out, streams
+from stairplank.platform import logs, out, owed, streams
 from stairplank.platform.messages import Kind, Message
 
 
@@ -64,3 +64,18 @@
         os.set_blocking(2, True)
         for fd in (reads, writes, kept):
             os.close(fd)
+
+
+def test_withdrawn_ids_that_may_have_run_are_kept_up_to_a_bound_and_an_age(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(owed, "UNPROVEN_MOST", 2)
+    desk = Desk(machines=4)
+    for number in (1, 2, 3):
+        conn = desk.owner()
+        desk.ask(conn, number, "once", extras=f"cores:0.5;memory:1;service:{number:016x}")
+        desk.connect()
+        desk.feed(ev.OwnerLeft(conn))
+    assert list(desk.core.owed.unproven) == [name(2), name(3)]
+    desk.passes(owed.UNPROVEN_US + 1_000_000)
+    assert not desk.core.owed.unproven
