A refusal or a late word closes no connection while set-ups of it wait behind

At fault: owed._complain counted a refusal for want of room, or 0.7 s after SIGTERM, as a complaint, and closed a connection of which nothing had been taken after 17, under the set-ups behind them.

The same on reading: owed._useless closed a new connection for a word that means nothing (a release heard late) though its set-ups had been read and waited (words are handled first); the time for a message to come whole ran from the last empty buffer, so an owner or a machine whose reads always end within a message lost its connection after 2 s or 1 s, and it ran on while owners were not read; a timer that is ready together with the bytes, after a stall, closed it too; a turn that says over 64 KiB to one connection reset it before anything had been written.

--- a/stairplank/platform/owed.py
+++ b/stairplank/platform/owed.py
@@ -184,6 +184,7 @@
                 self.ground.emit(ev.SayOwner(conn.number, Message(Kind.TESTED, message.id, cause=cause)))
             case Kind.HEARD:
                 if conn.unheard and message.id in (m.id for _, m in conn.unheard):
+                    conn.said = self.ground.now
                     conn.unheard = deque(u for u in conn.unheard if u[1].id != message.id)
                 elif not conn.said:
                     self._useless(conn)
@@ -194,15 +195,23 @@
 
     def _useless(self, conn: Conn) -> None:
         """A word that means nothing here. Danger: who sends nothing else is owed a close; a good owner, whose
-        word crossed with ours, must not lose what it has open."""
+        word crossed with ours, must not lose what it has open, nor set-ups that were read after that word and
+        wait."""
         conn.complaints += 1
-        if not conn.open and (not conn.said or conn.complaints > COMPLAINTS_MOST):
+        if conn.open or self.unread(conn.number):
+            return
+        if not conn.said or conn.complaints > COMPLAINTS_MOST:
             self._close(conn, "useless")
 
     def _complain(self, conn: Conn, id: str, cause: Cause, why: str, after_us: int = 0) -> None:
         self.ground.count("turned_away_" + why)
         fields = {"wait": str(max(1, after_us // 1000))} if after_us else {}
         self.ground.emit(ev.SayOwner(conn.number, Message(Kind.RELEASE, id, fields, int(cause))))
+        if cause is not Cause.INVALID:
+            # Danger: a good owner that is turned away at SIGTERM, or for want of room, would have its
+            # connection closed under the set-ups that wait behind.
+            conn.said = self.ground.now
+            return
         conn.complaints += 1
         if conn.complaints > COMPLAINTS_MOST and not conn.open and not conn.said:
             self._close(conn, "useless")
--- a/stairplank/platform/service.py
+++ b/stairplank/platform/service.py
@@ -48,6 +48,23 @@
     return time.time_ns() // 1000, now_us()
 
 
+def received(sock: Any, most: int, until: float | None) -> bytes:
+    """What has come, at most so many bytes. Raises TimeoutError after ``until`` (monotonic, in seconds).
+
+    Danger: after a stall the timer is ready together with the bytes, and the connection would be closed under
+    all that is open on it.
+    """
+    sock.settimeout(None if until is None else max(0.01, until - time.monotonic()))
+    try:
+        return sock.recv(most)
+    except TimeoutError:
+        sock.settimeout(0.0)
+        try:
+            return sock.recv(most)
+        except BlockingIOError:
+            raise TimeoutError("a message has begun and does not go on") from None
+
+
 class Service:
     def __init__(self, path: str) -> None:
         self.path = path
@@ -289,11 +306,10 @@
     def _read_owner(self, stream: Stream) -> None:
         sock, reader, began, reads = stream.sock, binary.Reader(), 0.0, 0
         while not stream.closed:
-            if not reader.waiting:
-                began = time.monotonic()
             waits = reader.waiting and not stream.ending
-            sock.settimeout(max(0.01, began + PARTIAL_S - time.monotonic()) if waits else None)
-            data = sock.recv(DRAIN_READ if stream.ending else READ)
+            data = received(sock, DRAIN_READ if stream.ending else READ, began + PARTIAL_S if waits else None)
+            if not waits:
+                began = time.monotonic()
             if stream.ending:
                 if not stream.drained(len(data)):
                     return
@@ -301,7 +317,9 @@
                 return
             else:
                 try:
-                    self._said(stream, reader.feed(data))
+                    if messages := reader.feed(data):
+                        began = time.monotonic()  # what is left has begun with these bytes
+                        self._said(stream, messages)
                 except Unreadable as error:
                     self.core.ground.count("unreadable_owners")
                     self._said(stream, error.messages)  # type: ignore[attr-defined]
@@ -312,11 +330,11 @@
                 gevent.sleep(0)
             while self._inbox.is_full() and not stream.ending:
                 gevent.sleep(SLICE_S)
+                began = time.monotonic()  # the rest of a message may lie unread meanwhile
 
     def _said(self, stream: Stream, messages: list[Any]) -> None:
-        if messages:
-            now = now_us()
-            self.feed(*[ev.OwnerSaid(stream.number, message, now) for message in messages])
+        now = now_us()
+        self.feed(*[ev.OwnerSaid(stream.number, message, now) for message in messages])
 
     def _end_owner(self, number: int) -> None:
         stream = self.owners.get(number)
@@ -347,15 +365,15 @@
         began, reads = 0.0, 0
         try:
             while not stream.closed:
-                if not lines.waiting:
-                    began = time.monotonic()
-                sock.settimeout(max(0.01, began + LINE_S - time.monotonic()) if lines.waiting else None)
-                data = sock.recv(MACHINE_READ)
+                waits = lines.waiting
+                data = received(sock, MACHINE_READ, began + LINE_S if waits else None)
                 if not data:
                     break
                 bad = False
                 try:
                     whole = lines.feed(data)
+                    if whole or not waits:
+                        began = time.monotonic()  # what is left has begun with these bytes
                 except Unreadable as error:
                     whole, bad = error.lines, True  # type: ignore[attr-defined]
                 said: list[ev.Event] = []
--- a/stairplank/platform/streams.py
+++ b/stairplank/platform/streams.py
@@ -34,7 +34,8 @@
         self._drained = 0
 
     def put(self, data: bytes, mark: str = "") -> None:
-        """Have it written with the next ``flush``. Danger: who does not read would have us keep all."""
+        """Have it written with the next ``flush``. Danger: who does not read would have us keep all; one that
+        reads must not lose its connection because a turn had much to say to it."""
         if self.closed or self.ending:
             return
         self._buffer += data
@@ -42,7 +43,9 @@
         if mark:
             self._marks.append((self._queued, mark))
         if len(self._buffer) > UNREAD_MOST:
-            self._fail()
+            self.flush()
+            if len(self._buffer) > UNREAD_MOST:
+                self._fail()
 
     def unsent(self) -> frozenset[str]:
         """Marks of the messages of which not every byte has been given to the system."""
--- a/tests/platform/test_platform_core.py
+++ b/tests/platform/test_platform_core.py
@@ -379,6 +379,33 @@
     assert desk.words(1) == [(two, ANSWER, None)]
 
 
+def test_a_useless_word_closes_no_connection_of_which_a_set_up_waits() -> None:
+    """Words are handled before set-ups that were read earlier."""
+    desk = Desk(machines=1)
+    conn = desk.owner()
+    desk.core.owed.unread = lambda number: number == conn
+    for kind in (Kind.NOTE, Kind.HEARD):
+        desk.feed(ev.OwnerSaid(conn, Message(kind, name(77))))
+    desk.feed(ev.OwnerSaid(conn, Message(RELEASE, name(77), cause=16)))
+    assert desk.closed == []
+    desk.core.owed.unread = lambda number: False
+    desk.ask(conn, 1)
+    desk.connect()
+    assert desk.sent(1)
+
+
+def test_an_owner_that_is_turned_away_at_sigterm_keeps_its_connection() -> None:
+    """Seen on roll+mass: closed as useless after 17 refusals, 15 set-ups behind them were lost."""
+    desk = Desk(machines=1)
+    conn = desk.owner()
+    desk.feed(ev.StopAsked())
+    desk.feed(after=owed.LEAVING_US + 50_000)
+    for number in range(1, 3 * owed.COMPLAINTS_MOST):
+        desk.ask(conn, number)
+    assert desk.closed == []
+    assert all(desk.words(n) == [(conn, RELEASE, Cause.BUSY)] for n in range(1, 3 * owed.COMPLAINTS_MOST))
+
+
 def test_silent_and_useless_connections_are_closed_and_busy_ones_are_not() -> None:
     desk = Desk(machines=1)
     silent, useless, busy, idle = (desk.owner(c) for c in "abcd")
