A fault of our own ends neither the turns nor the board's watch; unnamed zones stay apart

Now such an entry is unreadable; a fault in one event, in what a turn has to say, or in the watch is logged with its place ("fault") and the rest goes on. In tests the core still raises. Zones that the settings do not name ("there may be more than the site names") were all taken for the first one: one place for keyed repeats and for spread; each is its own now.

--- a/stairplank/platform/board.py
+++ b/stairplank/platform/board.py
@@ -26,6 +26,7 @@
     "DELETED": api.NodeStatus.GONE,
 }
 NAME_MOST = 200
+ZONES_MOST = 1024  # told of beside the settings' own
 
 
 @dataclass(frozen=True, slots=True)
@@ -85,13 +86,20 @@
                 self._started.pop(machine.entry.id, None)
         return Notice(whole, machines), False
 
+    def _zone(self, name: Any) -> int:
+        """Its number. Danger: zones that the settings do not name, taken for one, would be one place for a
+        keyed task's repeats, and one for a spread."""
+        if name not in self._zones and len(self._zones) < ZONES_MOST:
+            self._zones[name] = len(self._zones)
+        return self._zones.get(name, 0)
+
     def _listed(self, row: Any) -> Listed:
         try:
             name, address, status = row["host"], row["dial"], STATES[row["health"]]
             born, group, spare = int(row.get("born_ms") or 0), int(row.get("block") or 0), row.get("spare")
             cores, memory = (float(spare[0]), float(spare[1])) if spare else (0.0, 0.0)
-            zone, kind = self._zones.get(row.get("site"), 0), self._kinds.get(row.get("class"), -1)
-        except (KeyError, TypeError, ValueError, IndexError):
+            zone, kind = self._zone(row.get("site")), self._kinds.get(row.get("class"), -1)
+        except (KeyError, TypeError, ValueError, IndexError, OverflowError):
             raise Unreadable("a machine's entry that cannot be read") from None
         if not isinstance(name, str) or not 0 < len(name) <= NAME_MOST or not isinstance(address, str):
             raise Unreadable("a machine without a name or an address")
--- a/stairplank/platform/core.py
+++ b/stairplank/platform/core.py
@@ -13,6 +13,7 @@
 
 from __future__ import annotations
 
+import traceback
 from collections.abc import Callable, Iterable
 from typing import Any
 
@@ -45,6 +46,7 @@
         self.owed.out = self.out
         self.out.owed, self.out.links = self.owed, self.links
         self.links.out = self.out
+        self.goes_on = False  # after a fault of our own, with a line in the log; else it is raised
         self._handlers: dict[type, Callable[[Any], None]] = {
             ev.OwnerCame: self.owed.came,
             ev.OwnerSaid: self.owed.said,
@@ -89,8 +91,7 @@
         self.ground.begin(now)
         self._pass_time()
         for event in events:
-            self._handlers[type(event)](event)
-            self._run()
+            self._take(self._handlers[type(event)], event)
         return self.ground.out
 
     def woke(self, now: int, events: Iterable[ev.Event]) -> list[ev.Action]:
@@ -106,13 +107,11 @@
         told.sort(key=lambda e: not isinstance(e, ev.BoardTold))
         told += [e for e in events if isinstance(e, ev.OwnerLeft)]
         for event in told:
-            self._handlers[type(event)](event)
-            self._run()
+            self._take(self._handlers[type(event)], event)
         self._pass_time()
         for event in events:
             if isinstance(event, ev.OWNERS) and not isinstance(event, ev.OwnerLeft):
-                self._handlers[type(event)](event)
-                self._run()
+                self._take(self._handlers[type(event)], event)
         return self.ground.out
 
     def next_due(self) -> int | None:
@@ -123,6 +122,22 @@
     def counts(self) -> dict[str, int]:
         return self.ground.counts
 
+    def _take(self, call: Callable[[Any], None], what: Any) -> None:
+        """Danger: one fault, whatever it is, would end the turns for good, and all that is owed would be lost
+        with a process that looks alive. What it touched may be in disorder; the rest is not."""
+        again = True
+        while again:
+            try:
+                call(what)
+                self._run()
+                again = False
+            except Exception:
+                if not self.goes_on:
+                    raise
+                self.ground.count("faults")
+                self.ground.emit(ev.Report("fault", {"at": traceback.format_exc(limit=-3)}))
+                call, again = _nothing, bool(self.ground.told)  # the module has still to hear the rest
+
     def _run(self) -> None:
         """Let the module decide on what has been fed, and carry its actions out, until both are done."""
         told = self.ground.told
@@ -132,8 +147,11 @@
 
     def _pass_time(self) -> None:
         while (due := self.ground.pop_due()) is not None:
-            due.call(due.what)
-            self._run()
+            self._take(due.call, due.what)
 
     def _timer(self, token: int) -> None:
         self.ground.feed(api.TimerFired(token))
+
+
+def _nothing(_: Any) -> None:
+    pass
--- a/stairplank/platform/run.py
+++ b/stairplank/platform/run.py
@@ -32,4 +32,8 @@
         service.reload()
     if signal.SIGTERM in early:
         service.stop()
-    return service.run()
+    try:
+        return service.run()
+    except ConfigError as error:
+        log("configuration cannot be used", error=str(error))
+        return 2
--- a/stairplank/platform/service.py
+++ b/stairplank/platform/service.py
@@ -5,6 +5,7 @@
 import errno
 import gc
 import time
+import traceback
 from typing import Any
 
 import gevent
@@ -84,6 +85,7 @@
         self._inbox = Inbox()
         self._turn = Flag()
         self._unwritten: dict[int, set[str]] = {}  # for connections whose loss waits in the inbox
+        self.core.goes_on = True
         self.core.owed.unread = self._inbox.holds
         self.pulse = Pulse(self._inbox, self._wake)
         self._rearm = Flag()
@@ -100,7 +102,10 @@
         c = self.config
         known = []
         for value in c.known:
-            notice, _ = self.board.take(value)
+            try:
+                notice, _ = self.board.take(value)
+            except (Unreadable, AttributeError) as error:
+                raise config.ConfigError(f"known: {error}") from None
             if notice is not None:
                 known.append(notice)
         listener, where = address.listen(c.listen, BACKLOG)
@@ -217,25 +222,33 @@
 
     def _carry_out(self, actions: list[ev.Action]) -> None:
         for action in actions:
-            match action:
-                case ev.SayOwner():
-                    self._put(self.owners.get(action.conn), binary.encode(action.message))
-                case ev.SayMachine():
-                    mark = action.message.id if action.message.kind in (Kind.SET_UP, Kind.TEST) else ""
-                    stream = self.machines.get(action.link)
-                    if stream is None and mark:
-                        self._unwritten.setdefault(action.link, set()).add(mark)
-                    self._put(stream, jsonlines.encode(action.message), mark)
-                case ev.CloseOwner():
-                    self._end_owner(action.conn)
-                case ev.Dial():
-                    self.dialling[action.link] = gevent.spawn(self._machine, action.link, action.address)
-                case ev.HangUp():
-                    self._hang_up(action.link)
-                case ev.WatchBoard():
-                    self._board_wake.set()
-                case ev.Report():
-                    log(action.event, **action.fields)
+            try:
+                self._carry(action)
+            except Exception:
+                # Danger: what cannot be said would take along all that the turn has still to say.
+                self.core.ground.count("faults")
+                log("fault", at=traceback.format_exc(limit=-3))
+
+    def _carry(self, action: ev.Action) -> None:
+        match action:
+            case ev.SayOwner():
+                self._put(self.owners.get(action.conn), binary.encode(action.message))
+            case ev.SayMachine():
+                mark = action.message.id if action.message.kind in (Kind.SET_UP, Kind.TEST) else ""
+                stream = self.machines.get(action.link)
+                if stream is None and mark:
+                    self._unwritten.setdefault(action.link, set()).add(mark)
+                self._put(stream, jsonlines.encode(action.message), mark)
+            case ev.CloseOwner():
+                self._end_owner(action.conn)
+            case ev.Dial():
+                self.dialling[action.link] = gevent.spawn(self._machine, action.link, action.address)
+            case ev.HangUp():
+                self._hang_up(action.link)
+            case ev.WatchBoard():
+                self._board_wake.set()
+            case ev.Report():
+                log(action.event, **action.fields)
 
     def _put(self, stream: Stream | None, data: bytes, mark: str = "") -> None:
         if stream is not None:
@@ -438,8 +451,12 @@
         while True:
             self._board_wake.clear()
             where, rev = self.board_address, self.board.rev
-            if self._follow(where):
-                wait = BOARD_RETRY_S
+            try:
+                if self._follow(where):
+                    wait = BOARD_RETRY_S
+            except Exception:
+                # Danger: a fault of our own would end the watch, and every drain from then on goes unheard.
+                log("fault", at=traceback.format_exc(limit=-3))
             self.core.ground.count("board_breaks")
             if self.board.rev == rev and where == self.board_address:
                 self._board_wake.wait(wait)
--- a/tests/platform/test_platform_core.py
+++ b/tests/platform/test_platform_core.py
@@ -739,3 +739,24 @@
     desk.core.owed.unread = lambda number: False
     desk.passes(SECOND)
     assert desk.closed == [other, conn]
+
+
+def test_a_fault_of_our_own_ends_only_what_it_touches(monkeypatch: pytest.MonkeyPatch) -> None:
+    desk = Desk()
+    conn = desk.owner()
+    real = desk.core.module.handle
+
+    def handle(now: int, event: api.Event) -> list[api.Action]:
+        if isinstance(event, api.TaskAsked) and desk.core.owed.numbers[event.task.id].id == name(1):
+            raise KeyError("a fault")
+        return real(now, event)
+
+    monkeypatch.setattr(desk.core.module, "handle", handle)
+    desk.core.goes_on = True
+    desk.feed(*(ev.OwnerSaid(conn, set_up(n)) for n in (1, 2)))
+    desk.connect()
+    assert desk.sent(2) and not desk.sent(1) and desk.core.counts["faults"] == 1
+    desk.core.goes_on = False
+    monkeypatch.setitem(desk.core._handlers, ev.OwnerCame, lambda event: 1 / 0)
+    with pytest.raises(ZeroDivisionError):
+        desk.owner()
--- a/tests/platform/test_platform_service.py
+++ b/tests/platform/test_platform_service.py
@@ -248,3 +248,30 @@
     assert got == 100_000
     stream.close()
     theirs.close()
+
+
+def test_the_board_is_watched_on_after_a_fault(service: Service, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Else every drain from then on would go unheard."""
+    monkeypatch.setattr(module, "BOARD_RETRY_S", 0.001)
+    asked: list[str] = []
+
+    def follow(where: str) -> bool:
+        asked.append(where)
+        raise ZeroDivisionError("a fault")
+
+    monkeypatch.setattr(service, "_follow", follow)
+    watch = gevent.spawn(service._watch)
+    with gevent.Timeout(10):
+        while len(asked) < 3:
+            gevent.sleep(0.005)
+    assert not watch.dead
+
+
+def test_what_cannot_be_said_takes_nothing_else_along(service: Service) -> None:
+    ours, theirs = gsocket.socketpair()
+    service.owners[1] = module.Stream(ours, 1, service._owner_gone)
+    unspeakable = Message(Kind.RELEASE, "00000000000000aa", {"no such field": "x"}, 41)
+    service._carry_out([ev.SayOwner(1, unspeakable), ev.SayOwner(1, asks(2))])
+    service._flush()
+    assert theirs.recv(1000) == binary.encode(asks(2))
+    theirs.close()
--- a/tests/platform/test_told.py
+++ b/tests/platform/test_told.py
@@ -140,3 +140,21 @@
     path.write_text(broken)
     with pytest.raises(config.ConfigError):
         config.load(str(path))
+
+
+@pytest.mark.parametrize("changes", [{"born_ms": 1e400}, {"block": -1e400}, {"site": []}, {"spare": [1]}])
+def test_an_entry_that_cannot_be_read_is_unreadable_whatever_is_wrong_with_it(
+    changes: dict[str, Any],
+) -> None:
+    board = Board(("east",), ("std",), lambda: (1_000 * SECOND, 0))
+    with pytest.raises(Unreadable):
+        board.take(notice(1, row(1, **changes), whole=True))
+
+
+def test_zones_that_the_settings_do_not_name_are_places_of_their_own() -> None:
+    board = Board(("east",), ("std",), lambda: (1_000 * SECOND, 0))
+    rows = [row(n, site=site) for n, site in enumerate(("east", "north", "south", "north"), 1)]
+    got, _ = board.take(notice(1, *rows, whole=True))
+    assert got is not None
+    zones = [m.entry.zone for m in got.machines]
+    assert len(set(zones)) == 3 and zones[1] == zones[3]
