What is given up is said and leaves before anything else of its turn

The settings say second_copies=false: nothing goes elsewhere while the first is out.

Read and confirmed with tests of the core and the service: out._give_up said the release after links.done, which closes a connection that got no answer; the release found none and was not said at all. It was given up only by the close, and Stream.end shut the connection in a greenlet of its own, up to a slice of turns (20 ms) or, on a full core, several later, while the copy left with the same turn. And service._flush wrote connections in the order of their first word of the turn: a copy to a machine that had been spoken to earlier in that turn left before the release to the other. Ruled out: sends from the waiting queue (may_leave asks there), copies after a broken connection (closed before the core is told, tested before).

Now the release is said first, a release to a machine is written as it is carried out, and a connection is shut as it is said where nothing waits to be written.

--- a/stairplank/platform/out.py
+++ b/stairplank/platform/out.py
@@ -323,9 +323,11 @@
         if attempt.stage is Stage.WAITING:
             self._over(attempt, api.Result.NOT_SENT)
             return
-        link = attempt.link
+        # Danger: said once its connection is done with, it would be given up only by the close, and the copy
+        # that goes elsewhere in this turn may be there first.
+        message = Message(Kind.RELEASE, attempt.id, cause=int(Cause.ENDED))
+        self.links.say(attempt.machine, message, attempt.link)
         self.links.done(attempt, silent=self.ground.now > attempt.due - SILENT_US)
-        self.links.say(attempt.machine, Message(Kind.RELEASE, attempt.id, cause=int(Cause.ENDED)), link)
         self._leave_over(attempt)
         self._told(attempt, result)
 
--- a/stairplank/platform/service.py
+++ b/stairplank/platform/service.py
@@ -79,7 +79,7 @@
         self.machines: dict[int, Stream] = {}
         self.dialling: dict[int, gevent.Greenlet] = {}
         self.accepted: set[Stream] = set()  # owners' connections, those that are closing included
-        self.owners_most = c.sockets // 2
+        self.owners_most = c.sockets * 2 // 5  # owners hold a third; half is for machines, the rest is ours
         self._number = 0
         self._dirty: dict[Stream, None] = {}
         self._inbox = Inbox()
@@ -239,6 +239,10 @@
                 if stream is None and mark:
                     self._unwritten.setdefault(action.link, set()).add(mark)
                 self._put(stream, jsonlines.encode(action.message), mark)
+                if stream is not None and action.message.kind is Kind.RELEASE:
+                    # Danger: left to the turn's end, a set-up that is given up here may be out elsewhere
+                    # before this line leaves: connections are written in the order of their first word.
+                    stream.flush()
             case ev.CloseOwner():
                 self._end_owner(action.conn)
             case ev.Dial():
@@ -415,7 +419,9 @@
             self.feed(ev.LinkLost(stream.number, stream.unsent()))
 
     def _hang_up(self, link: int) -> None:
-        self.dialling.pop(link, None)
+        dialling = self.dialling.pop(link, None)
+        if dialling is not None:
+            dialling.kill(block=False)  # its descriptor is free at once
         stream = self.machines.get(link)
         if stream is not None:
             stream.end()
--- a/stairplank/platform/streams.py
+++ b/stairplank/platform/streams.py
@@ -99,12 +99,17 @@
     def end(self) -> None:
         """Close once all is written; whoever reads it reads on until it is closed, and throws away.
 
-        Danger: closing with bytes unread resets the connection, and the last answer is lost on its way.
+        Danger: closing with bytes unread resets the connection, and the last answer is lost on its way. One
+        closed only as its greenlet has its turn has still out what it gives up, as a copy leaves.
         """
         if self.closed or self.ending:
             return
         self.flush()
+        if self.closed:
+            return
         self.ending = True
+        if self._writer is None:
+            self._shut()
         gevent.spawn(self._end)
 
     def drained(self, size: int) -> bool:
@@ -116,9 +121,12 @@
         with gevent.Timeout(DRAIN_S, False):  # type: ignore[arg-type]
             if self._writer is not None:
                 self._writer.join()
-            try:
-                self.sock.shutdown(socket.SHUT_WR)
-            except OSError:
-                pass
+            self._shut()
             self.read_out.wait()
         self.close()
+
+    def _shut(self) -> None:
+        try:
+            self.sock.shutdown(socket.SHUT_WR)
+        except OSError:
+            pass
--- a/tests/platform/test_platform_service.py
+++ b/tests/platform/test_platform_service.py
@@ -275,3 +275,37 @@
     service._flush()
     assert theirs.recv(1000) == binary.encode(asks(2))
     theirs.close()
+
+
+def test_what_is_given_up_leaves_before_a_copy_on_a_connection_that_was_spoken_to_earlier(
+    service: Service, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    left: list[tuple[int, int]] = []
+
+    class Line(module.Stream):
+        def _sent(self, size: int) -> None:
+            left.append((self.number, size))
+            super()._sent(size)
+
+    pairs = [gsocket.socketpair() for _ in range(2)]
+    for number, (ours, _) in enumerate(pairs, 1):
+        service.machines[number] = Line(ours, number, service._machine_gone)
+    heard = Message(Kind.HEARD, "00000000000000bb")
+    given_up = Message(Kind.RELEASE, "00000000000000aa", cause=16)
+    service._carry_out([ev.SayMachine(2, heard), ev.SayMachine(1, given_up), ev.SayMachine(2, asks(0xAA))])
+    service._flush()
+    first = [number for number, _ in left]
+    assert first[0] == 1 and first[-1] == 2
+    for _, theirs in pairs:
+        theirs.close()
+
+
+def test_a_connection_is_closed_as_it_is_said_and_not_when_its_greenlet_has_its_turn() -> None:
+    ours, theirs = gsocket.socketpair()
+    stream = module.Stream(ours, 1, lambda s: None)
+    stream.put(b"last words")
+    stream.end()
+    theirs.setblocking(False)
+    assert theirs.recv(100) == b"last words" and theirs.recv(100) == b""
+    stream.close()
+    theirs.close()
