--- a/stairplank/platform/links.py
+++ b/stairplank/platform/links.py
@@ -5,8 +5,9 @@
 1. A set-up takes a connection with nothing else on it where there is one, else a new one, up to the pool's
    bound: what spoils a connection takes few others along.
 2. A connection with a set-up open is not closed for idleness.
-3. A machine at which tasks stand has a connection, made anew every ``REFRESH_US``: a machine says on the
-   next one what got lost on an old one, and one that has vanished lets no new one come up.
+3. A machine at which tasks stand has a connection, made anew once nothing has been heard for ``REFRESH_US``,
+   and every ``RENEW_US``: a machine says on the next one what got lost on an old one, and one that has
+   vanished lets no new one come up.
 4. A machine is held to be dead only where dials fail for ``DEAD_US`` and nothing is heard of it meanwhile,
    or where it refuses connections and none is up.
 5. Bounds: ``MACHINES_MOST``, ``pool_most`` a machine, ``links_most`` in all (those that come up and those
@@ -35,9 +36,11 @@
 
 LOOK_US = 100_000
 LOOKS = 5  # a machine of which nothing is awaited is looked at in one of so many
-# What stood at a machine that has vanished is due to its owners 8 s after its end: this wait, a dial's
-# time-out, DEAD_US and the looks come to 7.3 s. Danger: each planner dials nearly every machine so often.
+# What stood at a machine that has vanished is due to its owners 8 s after its end: this wait since it was
+# last heard, a dial's time-out, DEAD_US and the looks come to 7.3 s. Danger: each planner dials nearly
+# every machine so often.
 REFRESH_US = 4_000_000
+RENEW_US = 6_000_000  # the same where it is heard: what got lost is said on a new connection, due in 8 s too
 SPARE_US = 4_000_000  # a connection without use is closed then
 RETRY_US, RETRY_MOST_US = 100_000, 800_000  # between dials that failed
 DEAD_US = 2_500_000
@@ -80,6 +83,7 @@
     refused_since: int = 0
     gone_at: int = 0
     asked_at: int = 0
+    heard: int = 0
     opened: int = 0  # when one last came up; 0: none has, or what was said on the last may be lost
 
 
@@ -366,6 +370,7 @@
             return
         machine = self.machines[link.machine]
         link.used = self.ground.now
+        machine.heard = link.used
         machine.failing_since = machine.refused_since = 0
         self.out.said(machine.id, link.number, event.message)
 
@@ -442,7 +447,7 @@
         newest = max((k.opened for k in ups), default=0)
         if dialling or now < machine.dial_at:
             pass
-        elif machine.standing and now - machine.opened > REFRESH_US:
+        elif machine.standing and self._is_due(machine):
             if len(machine.links) >= self.pool_most:
                 idle = [k for k in ups if not k.open]
                 if idle:
@@ -458,6 +463,10 @@
         if machine.failing_since:
             self._doubt(machine, now, bool(ups))
 
+    def _is_due(self, machine: Machine) -> bool:
+        last = max(machine.opened, machine.heard)
+        return not machine.opened or self.ground.now > min(last + REFRESH_US, machine.opened + RENEW_US)
+
     def _doubt(self, machine: Machine, now: int, up: bool) -> None:
         """Dials fail. Danger: a machine may let no new connection come up and still run all it has."""
         dead = now - machine.failing_since > DEAD_US
--- a/stairplank/platform/out.py
+++ b/stairplank/platform/out.py
@@ -12,8 +12,8 @@
    standing for its owner to find; a copy beside one that stands is always told to end.
 5. A machine's second word on a task changes nothing.
 
-Tables: ``at`` by machine and id (leftovers included, for ``LEFTOVER_US``, at most ``LEFTOVERS_MOST``);
-``tests`` by id.
+Tables: ``at`` by machine and id, ``of`` the same by machine (leftovers included, for ``LEFTOVER_US``, at most
+``LEFTOVERS_MOST``); ``tests`` by id.
 """
 
 from __future__ import annotations
@@ -81,6 +81,8 @@
         self.links: Links
         self.owed: Owed
         self.at: dict[tuple[int, str], Attempt] = {}
+        # The same by machine. Danger: where many leave at once, looking through all for each is a stall.
+        self.of: dict[int, dict[str, Attempt]] = {}
         self.tests: dict[str, Test] = {}
         self.under_way = 0
         self._leftovers: deque[Attempt] = deque()
@@ -117,7 +119,7 @@
             self._told(attempt, api.Result.NOT_SENT)
             return
         task.out = attempt
-        self.at[action.node, task.id] = attempt
+        self._put(attempt)
         self.under_way += 1
         self.ground.count("binds")
         self.ground.at(due, self._timed_out, attempt)
@@ -189,7 +191,8 @@
         if old is not None:
             self._forget(old)
         attempt = Attempt(task, 0, machine, self.ground.now, task.expires, Stage.STANDING)
-        task.out = self.at[machine, task.id] = attempt
+        task.out = attempt
+        self._put(attempt)
         self.links.stands(machine, 1)
 
     # Words of the links
@@ -233,7 +236,7 @@
 
     def machine_lost(self, machine: int, before: int | None = None) -> None:
         """It died, left or started anew (``before``): what stood there is over."""
-        for attempt in [a for (m, _), a in self.at.items() if m == machine]:
+        for attempt in list(self.of.get(machine, {}).values()):
             if before is not None and attempt.began >= before:
                 continue
             if attempt.stage is Stage.STANDING:
@@ -385,10 +388,18 @@
         if attempt.stage is Stage.OUT:
             self.links.done(attempt)
 
+    def _put(self, attempt: Attempt) -> None:
+        self.at[attempt.machine, attempt.id] = attempt
+        self.of.setdefault(attempt.machine, {})[attempt.id] = attempt
+
     def _end(self, attempt: Attempt) -> None:
         attempt.stage = self.ground.step(ATTEMPT, attempt.stage, "over")
         if self.at.get((attempt.machine, attempt.id)) is attempt:
             del self.at[attempt.machine, attempt.id]
+            there = self.of[attempt.machine]
+            del there[attempt.id]
+            if not there:
+                del self.of[attempt.machine]
 
     def _told(
         self,
--- a/tests/platform/test_platform_core.py
+++ b/tests/platform/test_platform_core.py
@@ -6,7 +6,7 @@
 from desk import BODY, SECOND, SETTINGS, Desk, name, notice, row, set_up
 
 from stairplank import interface as api
-from stairplank.platform import door, jsonlines, owed
+from stairplank.platform import door, jsonlines, out, owed
 from stairplank.platform import events as ev
 from stairplank.platform.messages import MESSAGE_MOST, Cause, Kind, Message
 from stairplank.platform.tables import ATTEMPT, TASK
@@ -760,3 +760,16 @@
     monkeypatch.setitem(desk.core._handlers, ev.OwnerCame, lambda event: 1 / 0)
     with pytest.raises(ZeroDivisionError):
         desk.owner()
+
+
+def test_attempts_are_found_by_their_machine_and_forgotten_with_them() -> None:
+    """Where many machines leave at once, all attempts were looked through for each of them."""
+    desk = Desk(machines=4)
+    conn = desk.owner()
+    for number in range(1, 9):
+        desk.ask(conn, number, at=f"s-0000000{number % 4 + 1}")
+    assert sorted(len(there) for there in desk.core.out.of.values()) == [2, 2, 2, 2]
+    for number in range(1, 9):
+        desk.feed(ev.OwnerSaid(conn, Message(RELEASE, name(number), cause=16)))
+    desk.passes(out.LEFTOVER_US + 2 * out.SWEEP_US)
+    assert not desk.core.out.at and not desk.core.out.of
--- a/tests/platform/test_platform_links.py
+++ b/tests/platform/test_platform_links.py
@@ -387,3 +387,20 @@
     table.links_most = 2
     table._serve()
     assert numbers[5] not in table.wanted and len(table.wanted) == 4
+
+
+def test_a_machine_that_is_heard_is_dialled_less_often_and_a_silent_one_in_time() -> None:
+    def dials(heard: bool) -> int:
+        desk = Desk(machines=1)
+        link = desk.place(desk.owner(), 1)
+        before = desk.core.counts["dials"]
+        for _ in range(240):
+            desk.passes(100_000)
+            if heard and desk.up:
+                link = max(desk.up)
+                desk.machine(link, Message(Kind.NOTE, name(1), {"note": "c", "value": "1"}))
+        return desk.core.counts["dials"] - before
+
+    span = 24 * SECOND
+    assert span // links.REFRESH_US - 1 <= dials(False) <= span // links.REFRESH_US
+    assert span // links.RENEW_US - 1 <= dials(True) <= span // links.RENEW_US
