After a stall new set-ups are placed in slices, not all in one turn

Now board, ends and words are handled at once, set-ups stay for the ordinary slices of 20 ms. The test fails without it.

--- a/stairplank/platform/inbox.py
+++ b/stairplank/platform/inbox.py
@@ -109,10 +109,11 @@
             _less(self._conns, event.conn)
         return event
 
-    def take_all(self) -> list[ev.Event]:
+    def take_all(self, asks: bool = True) -> list[ev.Event]:
+        """Everything; without ``asks`` the new set-ups stay."""
         out: list[ev.Event] = []
-        while part := self.take():
-            out += part
+        while len(self) > (0 if asks else len(self._asks)):
+            out += self.take()
         return out
 
 
--- a/stairplank/platform/service.py
+++ b/stairplank/platform/service.py
@@ -203,8 +203,11 @@
             self._rearm.set()
 
     def _wake(self, stood: int) -> None:
-        """The process stood still; what came meanwhile is read by now."""
-        events = self._inbox.take_all()
+        """The process stood still; what came meanwhile is read by now. New set-ups wait for their slices.
+
+        Danger: hundreds of them placed in one turn are a stall of their own, during which no drain is read.
+        """
+        events = self._inbox.take_all(asks=False)
         self.core.ground.count("stood_still")
         if stood > LOGGED_US:
             log("stood still", ms=stood // 1000, came=len(events))
--- a/tests/platform/test_platform_service.py
+++ b/tests/platform/test_platform_service.py
@@ -309,3 +309,21 @@
     assert theirs.recv(100) == b"last words" and theirs.recv(100) == b""
     stream.close()
     theirs.close()
+
+
+def test_after_a_stall_new_set_ups_are_placed_in_slices(
+    service: Service, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """All in one turn they are the next stall, and the drain that comes meanwhile is not read."""
+    batches: list[list[ev.Event]] = []
+
+    def woke(now: int, events: list[ev.Event]) -> list[ev.Action]:
+        batches.append(events)
+        return []
+
+    monkeypatch.setattr(service.core, "woke", woke)
+    over = ev.MachineSaid(9, Message(Kind.RELEASE, "00000000000000ff", cause=16))
+    service.feed(*(ev.OwnerSaid(1, asks(n)) for n in range(1, 100)), ev.LinkUp(9), over)
+    service._wake(300_000)
+    assert batches == [[ev.LinkUp(9), over]]
+    assert sum(isinstance(e, ev.OwnerSaid) for e in service._inbox.take_all()) == 99
