Two set-ups share a connection where the settings price a handshake

At fault: links.send took a connection only with nothing out on it, and a set-up is out until its task runs, seconds here, so nearly each had a dial of its own.

--- a/stairplank/platform/config.py
+++ b/stairplank/platform/config.py
@@ -29,6 +29,7 @@
     fields: tuple[str, ...]  # of load reports, as machines name them
     dial_timeout_us: int
     idle_us: int
+    handshake_price: float  # of a connection, as a share
     known: tuple[dict[str, Any], ...]
 
 
@@ -70,6 +71,7 @@
             zones=options.items("dcs", str),
             fields=options.items("report.fields", str),
             dial_timeout_us=options.whole("limits.dial_timeout_us", 250_000),
+            handshake_price=options.number("penalties.handshake", 0.0),
             idle_us=options.whole("limits.conn_idle_us", 30_000_000),
             known=tuple(known.get("notices", ())),
         )
--- a/stairplank/platform/links.py
+++ b/stairplank/platform/links.py
@@ -2,8 +2,8 @@
 
 Invariants (tests/platform/test_platform_links.py):
 
-1. A set-up takes a connection with nothing else on it where there is one, else a new one, up to the pool's
-   bound: what spoils a connection takes few others along.
+1. A set-up takes a connection with nothing else on it where there is one (``shared``: with fewer than so
+   many), else a new one, up to the pool's bound: what spoils a connection takes few others along.
 2. A connection with a set-up open is not closed for idleness.
 3. A machine at which tasks stand has a connection, made anew once nothing has been heard for ``REFRESH_US``,
    and every ``RENEW_US``: a machine says on the next one what got lost on an old one, and one that has
@@ -49,6 +49,7 @@
 WORDS_MOST = 1024
 MACHINES_MOST = 4096  # of the list; further ones are not taken
 POOL_LEAST, POOL_MOST = 2, 6
+SHARED = 2  # set-ups out on one connection before another is dialled, where the settings price a handshake
 ROOM_SHARE = 16  # one in so many connections is kept free: a dial need not wait for a close
 
 
@@ -98,6 +99,7 @@
         self.links_most = sockets // 2
         self.wanted: dict[int, None] = {}  # machines that wait for room for a connection
         self._served = 0
+        self.shared = 1
         self._looks = 0
         self.dial_timeout_us = dial_timeout_us
 
@@ -185,14 +187,14 @@
             return
         ups = [k for k in machine.links.values() if k.up and not k.suspect]
         best = min(ups, key=lambda k: (len(k.open), -k.opened), default=None)
-        if best is not None and not best.open:
+        if best is not None and len(best.open) < self.shared:
             self._write(best, thing)
             return
         dialling = sum(1 for k in machine.links.values() if not k.up)
-        if dialling <= len(machine.waiting) and self._may_dial(machine):
+        if dialling * self.shared <= len(machine.waiting) and self._may_dial(machine):
             self._dial(machine)
             dialling += 1
-        if dialling > len(machine.waiting) or best is None:
+        if dialling * self.shared > len(machine.waiting) or best is None:
             machine.waiting.append(thing)
             if not dialling:
                 self._want(machine)
@@ -307,7 +309,7 @@
         words, machine.words = machine.words, {}
         for message in words.values():
             self.ground.emit(ev.SayMachine(link.number, message))
-        while machine.waiting and not link.open:
+        while machine.waiting and len(link.open) < self.shared:
             self._write(link, machine.waiting.popleft())
 
     def failed(self, event: ev.LinkFailed) -> None:
--- a/stairplank/platform/service.py
+++ b/stairplank/platform/service.py
@@ -15,7 +15,7 @@
 from ..planner.clock import now_us
 from ..planner.pulse import Pulse
 from ..rpc import address
-from . import binary, config, jsonlines
+from . import binary, config, jsonlines, links
 from . import events as ev
 from .board import Board
 from .core import Core
@@ -86,6 +86,8 @@
         self._turn = Flag()
         self._unwritten: dict[int, set[str]] = {}  # for connections whose loss waits in the inbox
         self.core.goes_on = True
+        if c.handshake_price > 0:
+            self.core.links.shared = links.SHARED
         self.core.owed.unread = self._inbox.holds
         self.pulse = Pulse(self._inbox, self._wake)
         self._rearm = Flag()
--- a/tests/platform/test_platform_links.py
+++ b/tests/platform/test_platform_links.py
@@ -23,6 +23,16 @@
     assert max(loads) <= 2 and sum(loads) == 9
 
 
+def test_set_ups_share_a_connection_where_a_handshake_has_its_price() -> None:
+    desk = Desk(machines=1)
+    desk.core.links.shared = links.SHARED
+    conn = desk.owner()
+    for number in range(1, 6):
+        desk.ask(conn, number, extras=f"cores:0.5;memory:1;service:{number:016x}")
+        desk.connect()
+    assert sorted(len(k.open) for k in desk.core.links.links.values()) == [1, 2, 2]
+
+
 def test_connections_in_all_are_bounded() -> None:
     desk = Desk(machines=10, sockets=16)
     conn = desk.owner()
