--- a/stairplank/platform/links.py
+++ b/stairplank/platform/links.py
@@ -49,7 +49,7 @@
 WORDS_MOST = 1024
 MACHINES_MOST = 4096  # of the list; further ones are not taken
 POOL_LEAST, POOL_MOST = 2, 6
-SHARED = 2  # set-ups out on one connection before another is dialled, where the settings price a handshake
+SHARED = 4  # set-ups out on one connection before another is dialled, where the settings price a handshake
 ROOM_SHARE = 16  # one in so many connections is kept free: a dial need not wait for a close
 
 
