The test of an older link waits until the planner has heard its node

The room waits until the node has spoken, not until the planner has heard it. Greenlets of earlier tests, suspected then, were not the cause here: they end with their tests now.

--- a/tests/planner/test_daemon_fence.py
+++ b/tests/planner/test_daemon_fence.py
@@ -218,6 +218,7 @@
 def test_an_older_link_s_end_says_nothing_of_the_newer(world: World) -> None:
     from stairplank.planner import events as ev
 
+    world.until(lambda: world.daemon.core.links.up(1))  # the node has spoken, we may not have heard it yet
     link = world.daemon.links[1]
 
     class Older:
