Set-ups that no dial is under way for leave with the connection that comes up

Seen on reading the change again, and confirmed with the core: seven set-ups waited for a machine all of whose connections were suspect, one dial was under way, and links.came_up took four; the other three still waited 5 s later, until their own time. Now the last that comes up takes all.

Also: service._unwritten kept an entry for good where a turn spoke to a connection after the core had heard of its loss; the price of a handshake goes to the links by the core's constructor; heapq.nsmallest instead of a sort of all spare connections; the wait between turns no longer claims to prevent a crash that it had nothing to do with; a check in Stream.end that changed nothing is gone.

--- a/stairplank/platform/core.py
+++ b/stairplank/platform/core.py
@@ -28,7 +28,8 @@
 
 
 class Core:
-    """One life of a planner. ``fields``: of load reports, as machines name them, in the settings' order."""
+    """One life of a planner. ``fields``: of load reports, as machines name them, in the settings' order.
+    ``priced``: whether a connection has a price."""
 
     def __init__(
         self,
@@ -37,12 +38,13 @@
         seed: int,
         sockets: int,
         dial_timeout_us: int = 250_000,
+        priced: bool = False,
     ) -> None:
         self.ground = Ground()
         self.module = Planner(settings, seed)
         self.owed = Owed(self.ground, settings)
         self.out = Out(self.ground, settings, fields)
-        self.links = Links(self.ground, sockets, dial_timeout_us)
+        self.links = Links(self.ground, sockets, dial_timeout_us, priced)
         self.owed.out = self.out
         self.out.owed, self.out.links = self.owed, self.links
         self.links.out = self.out
--- a/stairplank/platform/links.py
+++ b/stairplank/platform/links.py
@@ -10,9 +10,9 @@
    vanished lets no new one come up.
 4. A machine is held to be dead only where dials fail for ``DEAD_US`` and nothing is heard of it meanwhile,
    or where it refuses connections and none is up.
-5. Bounds: ``MACHINES_MOST``, ``pool_most`` a machine, ``links_most`` in all (those that come up and those
-   that are being closed included), ``WORDS_MOST`` words kept for a machine out of reach. Where more machines
-   want one than may have one, those with nothing open take turns.
+5. Bounds: ``MACHINES_MOST``, ``pool_most`` a machine (more where all are suspect), ``links_most`` in all
+   (those that come up and those that are being closed included), ``WORDS_MOST`` words kept for a machine out
+   of reach. Where more machines want one than may have one, those with nothing open take turns.
 
 6. A connection that is closed is read on until the machine has closed it too: a release may be on its way
    there. After one that broke off, a machine at which tasks stand is dialled at once, for what got lost on
@@ -23,6 +23,7 @@
 
 from __future__ import annotations
 
+import heapq
 from collections import deque
 from dataclasses import dataclass, field
 from typing import Protocol
@@ -89,7 +90,7 @@
 
 
 class Links:
-    def __init__(self, ground: Ground, sockets: int, dial_timeout_us: int) -> None:
+    def __init__(self, ground: Ground, sockets: int, dial_timeout_us: int, priced: bool) -> None:
         self.ground = ground
         self.out: Out
         self.machines: dict[int, Machine] = {}
@@ -99,7 +100,7 @@
         self.links_most = sockets // 2
         self.wanted: dict[int, None] = {}  # machines that wait for room for a connection
         self._served = 0
-        self.shared = 1
+        self.shared = SHARED if priced else 1
         self._looks = 0
         self.dial_timeout_us = dial_timeout_us
 
@@ -222,8 +223,7 @@
         or at which nothing stands. Danger: closing one for room would give up the set-ups that are out on
         it."""
         spare = [k for k in self.links.values() if k.up and not k.open]
-        spare.sort(key=self._use_of)
-        for link in spare[:count]:
+        for link in heapq.nsmallest(count, spare, key=self._use_of):
             self.ground.count("closed_for_room")
             self._break(link)
 
@@ -309,7 +309,9 @@
         words, machine.words = machine.words, {}
         for message in words.values():
             self.ground.emit(ev.SayMachine(link.number, message))
-        while machine.waiting and len(link.open) < self.shared:
+        # Danger: what no dial is under way for would wait here until its own time is over.
+        last = all(k.up for k in machine.links.values())
+        while machine.waiting and (last or len(link.open) < self.shared):
             self._write(link, machine.waiting.popleft())
 
     def failed(self, event: ev.LinkFailed) -> None:
--- a/stairplank/platform/service.py
+++ b/stairplank/platform/service.py
@@ -15,7 +15,7 @@
 from ..planner.clock import now_us
 from ..planner.pulse import Pulse
 from ..rpc import address
-from . import binary, config, jsonlines, links
+from . import binary, config, jsonlines
 from . import events as ev
 from .board import Board
 from .core import Core
@@ -29,8 +29,7 @@
 MACHINE_READ = DRAIN_READ = 65_536
 READS = 4  # of one connection in a row: one that sends at full speed would be read for ever, and nobody else
 SLICE_S = 0.02  # of turns, before all that has come meanwhile is read: far under the grace that drains have
-# A wait between slices. Danger: sleep(0) may come back without a look at the sockets, and one that never
-# waits while there is work counts as hung where many share a core.
+# A wait between slices. Danger: sleep(0) may come back without a look at the sockets.
 POLL_S = 0.001
 PARTIAL_S = 2.0  # a message that has begun comes whole by then, or its connection is of no use
 LINE_S = 1.0  # the same of a machine's line
@@ -73,7 +72,7 @@
         c = self.config
         kinds = tuple(k.name for k in c.settings.kinds)
         self.board = Board(c.zones, kinds, clocks)
-        self.core = Core(c.settings, c.fields, c.seed, c.sockets, c.dial_timeout_us)
+        self.core = Core(c.settings, c.fields, c.seed, c.sockets, c.dial_timeout_us, c.handshake_price > 0)
         self.board_address = c.board
         self.owners: dict[int, Stream] = {}
         self.machines: dict[int, Stream] = {}
@@ -86,8 +85,6 @@
         self._turn = Flag()
         self._unwritten: dict[int, set[str]] = {}  # for connections whose loss waits in the inbox
         self.core.goes_on = True
-        if c.handshake_price > 0:
-            self.core.links.shared = links.SHARED
         self.core.owed.unread = self._inbox.holds
         self.pulse = Pulse(self._inbox, self._wake)
         self._rearm = Flag()
@@ -241,7 +238,8 @@
             case ev.SayMachine():
                 mark = action.message.id if action.message.kind in (Kind.SET_UP, Kind.TEST) else ""
                 stream = self.machines.get(action.link)
-                if stream is None and mark:
+                # Danger: kept for one whose loss the core has heard of already, it would be kept for good.
+                if stream is None and mark and action.link in self.core.links.links:
                     self._unwritten.setdefault(action.link, set()).add(mark)
                 self._put(stream, jsonlines.encode(action.message), mark)
                 if stream is not None and action.message.kind is Kind.RELEASE:
--- a/stairplank/platform/streams.py
+++ b/stairplank/platform/streams.py
@@ -105,8 +105,6 @@
         if self.closed or self.ending:
             return
         self.flush()
-        if self.closed:
-            return
         self.ending = True
         if self._writer is None:
             self._shut()
--- a/tests/platform/desk.py
+++ b/tests/platform/desk.py
@@ -129,11 +129,15 @@
         """Set-ups of that task that went to machines."""
         return [(k, m) for k, m in self.out if m.id == name(number) and m.kind is Kind.SET_UP]
 
-    def place(self, conn: int, number: int, sort: str = "repeat") -> int:
-        """A task that stands; the link it was sent on."""
+    def send(self, conn: int, number: int, sort: str = "repeat") -> int:
+        """A task that is out; the link it was sent on."""
         self.ask(conn, number, sort)
         self.connect()
-        link = self.sent(number)[-1][0]
+        return self.sent(number)[-1][0]
+
+    def place(self, conn: int, number: int, sort: str = "repeat") -> int:
+        """A task that stands; the link it was sent on."""
+        link = self.send(conn, number, sort)
         self.machine(link, Message(Kind.ANSWER, name(number), body="stands " + name(number)))
         return link
 
--- a/tests/platform/drawn_days.py
+++ b/tests/platform/drawn_days.py
@@ -16,6 +16,7 @@
 
 STEP = 10_000
 SORTS = ("repeat", "keyed", "once", "keyed-all")
+DIALS = 0.08  # of those under way come up within a step, and a tenth as many fail
 LATE = 100_000  # an answer so long after its time is late
 
 
@@ -233,10 +234,11 @@
         for _ in range(steps):
             self.feed(after=STEP)
             for link in list(self.dials):
-                if self.rng.random() < 0.9:
+                drawn = self.rng.random()
+                if drawn < DIALS:
                     self.up[link] = self.dials.pop(link)
                     self.feed(ev.LinkUp(link))
-                else:
+                elif drawn < 1.1 * DIALS:
                     del self.dials[link]
                     self.feed(ev.LinkFailed(link, self.rng.random() < 0.5))
             self.speaks()
--- a/tests/platform/test_platform_core.py
+++ b/tests/platform/test_platform_core.py
@@ -394,6 +394,18 @@
     assert desk.sent(1)
 
 
+def test_an_owner_that_heard_a_release_on_its_connection_keeps_it() -> None:
+    desk = Desk(machines=1)
+    first, second = desk.owner(), desk.owner()
+    link = desk.place(first, 1)
+    desk.feed(ev.OwnerLeft(first))
+    desk.ends(link, 1)
+    assert desk.words(1)[-1][0] == second  # on which nothing else was said
+    desk.feed(ev.OwnerSaid(second, Message(Kind.HEARD, name(1))))
+    desk.feed(ev.OwnerSaid(second, Message(Kind.HEARD, name(1))))  # twice, as it came twice
+    assert desk.closed == []
+
+
 def test_an_owner_that_is_turned_away_at_sigterm_keeps_its_connection() -> None:
     """Seen on roll+mass: closed as useless after 17 refusals, 15 set-ups behind them were lost."""
     desk = Desk(machines=1)
@@ -404,6 +416,8 @@
         desk.ask(conn, number)
     assert desk.closed == []
     assert all(desk.words(n) == [(conn, RELEASE, Cause.BUSY)] for n in range(1, 3 * owed.COMPLAINTS_MOST))
+    desk.passes(owed.SILENT_US + SECOND)  # nor does it count as one that says nothing
+    assert desk.closed == []
 
 
 def test_silent_and_useless_connections_are_closed_and_busy_ones_are_not() -> None:
@@ -756,6 +770,11 @@
     desk.feed(*(ev.OwnerSaid(conn, set_up(n)) for n in (1, 2)))
     desk.connect()
     assert desk.sent(2) and not desk.sent(1) and desk.core.counts["faults"] == 1
+    heard: list[api.Event] = []
+    monkeypatch.setattr(desk.core.module, "handle", lambda now, event: heard.append(event) or 1 / 0)
+    said = (api.TaskWithdrawn(1), api.TaskWithdrawn(2))
+    desk.core._take(lambda _: [desk.core.ground.feed(event) for event in said], None)
+    assert heard == list(said)  # what it is still to be told is told
     desk.core.goes_on = False
     monkeypatch.setitem(desk.core._handlers, ev.OwnerCame, lambda event: 1 / 0)
     with pytest.raises(ZeroDivisionError):
--- a/tests/platform/test_platform_drawn.py
+++ b/tests/platform/test_platform_drawn.py
@@ -8,7 +8,7 @@
 from drawn_days import DrawnDay
 
 from stairplank import interface as api
-from stairplank.platform import links, out, owed
+from stairplank.platform import links, out, owed, tables
 
 SEEDS = range(12)
 
@@ -36,7 +36,11 @@
 
 
 def a_broken_connection_is_taken_for_proof(patch: pytest.MonkeyPatch) -> None:
-    patch.setattr(out.Out, "broken", lambda self, thing: self._over(thing, api.Result.NOT_SENT))
+    def broken(self: out.Out, thing: tables.Attempt | tables.Test) -> None:
+        if isinstance(thing, tables.Attempt):
+            self._over(thing, api.Result.NOT_SENT)
+
+    patch.setattr(out.Out, "broken", broken)
 
 
 def withdrawn_tasks_are_forgotten(patch: pytest.MonkeyPatch) -> None:
--- a/tests/platform/test_platform_links.py
+++ b/tests/platform/test_platform_links.py
@@ -29,7 +29,12 @@
     conn = desk.owner()
     for number in range(1, links.SHARED + 2):
         desk.ask(conn, number, extras=f"cores:0.5;memory:1;service:{number:016x}")
-        desk.connect()
+        assert len(desk.dials) == (1 if number <= links.SHARED else 2)
+    first = min(desk.dials)
+    desk.up[first] = desk.dials.pop(first)
+    desk.feed(ev.LinkUp(first))
+    assert len(desk.core.links.links[first].open) == links.SHARED
+    desk.connect()
     assert sorted(len(k.open) for k in desk.core.links.links.values()) == [1, links.SHARED]
 
 
@@ -270,10 +275,7 @@
 
 def test_what_is_out_on_a_connection_that_is_closed_is_called_back_before_it_goes_elsewhere() -> None:
     desk = Desk(machines=3)
-    conn = desk.owner()
-    desk.ask(conn, 1)
-    desk.connect()
-    link = desk.sent(1)[0][0]
+    link = desk.send(desk.owner(), 1)
     desk.told(row(desk.machine_of(link), dial="127.8.1.99:2905"))  # a new address: the old connection goes
     desk.connect()
     words = [(k, m.kind, m.cause) for k, m in desk.out if m.id == name(1)]
@@ -370,10 +372,7 @@
 def test_an_attempt_that_gets_no_answer_is_given_up_on_its_connection_before_that_is_closed() -> None:
     """Said after the connection was done with, it was given up only by the close, some time later."""
     desk = Desk(machines=1)
-    conn = desk.owner()
-    desk.ask(conn, 1)
-    desk.connect()
-    link = desk.sent(1)[0][0]
+    link = desk.send(desk.owner(), 1)
     while link not in desk.hung:  # nothing else is out on it: it is closed with that
         desk.feed(after=50_000)
     words = [(k, m.kind, m.cause) for k, m in desk.out if m.id == name(1)]
@@ -414,3 +413,106 @@
     span = 24 * SECOND
     assert span // links.REFRESH_US - 1 <= dials(False) <= span // links.REFRESH_US
     assert span // links.RENEW_US - 1 <= dials(True) <= span // links.RENEW_US
+
+
+def test_all_that_wait_leave_with_the_last_connection_that_comes_up() -> None:
+    """No dial was under way for the others: they waited until their own time was over."""
+    desk = Desk(machines=1)
+    conn, table = desk.owner(), desk.core.links
+    machine = next(iter(table.machines.values()))
+    for number in range(1, table.pool_most + 1):
+        desk.ask(conn, number, "once", extras=f"cores:0.1;memory:1;service:{number:016x}")
+        desk.connect()
+    for link in machine.links.values():
+        link.suspect = True
+    for number in range(101, 104):
+        desk.ask(conn, number, "once", extras=f"cores:0.1;memory:1;service:{number:016x}")
+    assert len(machine.waiting) == 3 and len(desk.dials) == 1
+    desk.connect()
+    assert not machine.waiting and all(desk.sent(n) for n in range(101, 104))
+
+
+def crowded(machines: int = 4) -> Desk:
+    """Two connections in all, one task at each machine, the first two connected."""
+    desk = Desk(machines=machines, sockets=4)
+    conn = desk.owner()
+    for number in range(1, machines + 1):
+        desk.ask(conn, number, at=f"s-{number:08x}")
+    desk.feed(after=2 * links.LOOKS * links.LOOK_US)
+    desk.connect()
+    assert len(desk.up) == 2
+    return desk
+
+
+def test_no_more_connections_are_closed_for_room_than_machines_wait() -> None:
+    desk = crowded()
+    table = desk.core.links
+    table.wanted.clear()
+    table.closing.clear()
+    table.ground.begin(desk.now)
+    waits = next(m for m in table.machines.values() if not m.links)
+    for _ in range(3):
+        table._want(waits)
+    assert len(table.closing) == 1 and len(table.links) == 1
+
+
+def test_a_machine_that_left_waits_for_no_connection() -> None:
+    desk = crowded()
+    table = desk.core.links
+    waits = next(m for m in table.machines.values() if not m.links)
+    table.wanted = {waits.id: None}
+    table.links_most = 0
+    desk.told(row(int(waits.name[2:], 16), "DELETED"))
+    desk.feed(after=links.GONE_US + SECOND)
+    assert waits.id not in table.machines and waits.id not in table.wanted
+
+
+def test_the_connection_of_which_its_machine_has_a_newer_one_is_closed_first() -> None:
+    desk = Desk(machines=2)
+    conn = desk.owner()
+    for number in (1, 2):
+        desk.ask(conn, number, at=f"s-0000000{number}")
+    desk.passes(SECOND)
+    table = desk.core.links
+    single, double = table.machines.values()
+    table.ground.begin(desk.now)
+    table._dial(double)
+    desk._take(table.ground.out)
+    older = max(double.links.values(), key=lambda k: k.up)
+    desk.connect()
+    older.used = desk.now + SECOND  # the one that was used last of all
+    table._free(1)
+    assert older.number not in table.links and len(single.links) == len(double.links) == 1
+
+
+def test_room_is_kept_for_the_next_dial() -> None:
+    desk = Desk(machines=40, sockets=64)
+    conn = desk.owner()
+    for number in range(1, 41):
+        desk.ask(conn, number, at=f"s-{number:08x}")
+    for _ in range(100):
+        desk.feed(after=50_000)
+        desk.connect()
+    desk.feed(after=links.LOOK_US)
+    assert len(desk.core.links.links) <= 32 - 32 // links.ROOM_SHARE
+
+
+def test_one_that_waits_for_room_is_dialled_only_while_it_has_a_use_for_it() -> None:
+    desk = crowded()
+    table = desk.core.links
+    gone, unused = [m for m in table.machines.values() if not m.links]
+    gone.gone_at, unused.standing = desk.now, 0
+    table.wanted, table.links_most = dict.fromkeys((gone.id, unused.id)), 10
+    table._serve()
+    assert not table.wanted and not gone.links and not unused.links
+
+
+def test_what_was_lost_on_a_broken_connection_is_asked_for_as_soon_as_there_is_room() -> None:
+    desk = Desk(machines=1)
+    link = desk.place(desk.owner(), 1)
+    desk.core.links.links_most = 0
+    desk.feed(ev.LinkLost(link, frozenset()))
+    assert not desk.dials
+    desk.core.links.links_most = 2
+    desk.feed(after=2 * links.LOOK_US)
+    assert len(desk.dials) == 1
--- a/tests/platform/test_platform_service.py
+++ b/tests/platform/test_platform_service.py
@@ -5,6 +5,7 @@
 import json
 import time
 from collections.abc import Iterator
+from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
@@ -16,8 +17,10 @@
 from stairplank.platform import binary, jsonlines
 from stairplank.platform import events as ev
 from stairplank.platform import service as module
+from stairplank.platform.config import ConfigError
 from stairplank.platform.messages import Kind, Message
 from stairplank.platform.service import Service
+from stairplank.platform.tables import Link
 
 
 @pytest.fixture
@@ -106,7 +109,9 @@
             return []
 
     message = Message(Kind.SET_UP, "00000000000000aa", {"class": "worker"}, body="x")
-    service._carry_out([ev.SayMachine(7, message)])
+    service.core.links.links[7] = Link(7, 1)
+    service._carry_out([ev.SayMachine(n, message) for n in (7, 8)])
+    assert list(service._unwritten) == [7]  # of the other the core knows already: it would be kept for good
     service.core = Core()  # type: ignore[assignment]
     service._handle([ev.LinkLost(7, frozenset({"00000000000000bb"}))])
     assert seen == [ev.LinkLost(7, frozenset({message.id, "00000000000000bb"}))]
@@ -327,3 +332,74 @@
     service._wake(300_000)
     assert batches == [[ev.LinkUp(9), over]]
     assert sum(isinstance(e, ev.OwnerSaid) for e in service._inbox.take_all()) == 99
+
+
+def test_a_dial_that_is_called_off_ends_at_once(service: Service, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Else its descriptor counts for nobody until the dial's time is over."""
+    monkeypatch.setattr(module.address, "dial", lambda where, wait: gevent.sleep(3600))
+    service._carry_out([ev.Dial(7, "127.0.0.1:1")])
+    dial = service.dialling[7]
+    gevent.sleep(0)
+    service._carry_out([ev.HangUp(7)])
+    dial.join(5)
+    assert dial.dead and not service.dialling
+
+
+def test_owners_are_not_read_while_too_much_waits_and_lose_nothing_by_it(
+    service: Service, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Half of a message lies unread meanwhile: its time to come whole begins with the next read."""
+    monkeypatch.setattr(module, "PARTIAL_S", 0.2)
+    heard: list[ev.Event] = []
+    hears(service, monkeypatch, heard.append)
+    full = [True]
+    monkeypatch.setattr(service._inbox, "is_full", lambda: full[0])
+    ours, theirs = gsocket.socketpair()
+    stream = service.owners[1] = module.Stream(ours, 1, service._owner_gone)
+    reads = gevent.spawn(service._owner, stream)
+    data = binary.encode(asks(1))
+    theirs.sendall(data[:50])
+    gevent.sleep(0.3)
+    theirs.sendall(data[50:60])
+    gevent.sleep(0.05)
+    assert len(ours.recv(10, gsocket.MSG_PEEK)) == 10  # not read
+    full[0] = False
+    gevent.sleep(0.05)
+    theirs.sendall(data[60:])
+    with gevent.Timeout(10):
+        while not heard:
+            gevent.sleep(0.01)
+    assert isinstance(heard[0], ev.OwnerSaid) and not stream.ending
+    theirs.close()
+    reads.join(5)
+
+
+@pytest.mark.parametrize("owner", [True, False])
+def test_one_that_sends_at_full_speed_leaves_the_others_their_turns(
+    service: Service, monkeypatch: pytest.MonkeyPatch, owner: bool
+) -> None:
+    """A read that finds bytes does not wait: all of it would be read before anybody else is."""
+    heard: list[ev.Event] = []
+    hears(service, monkeypatch, heard.append)
+    monkeypatch.setattr(module, "READ", 256)
+    monkeypatch.setattr(module, "MACHINE_READ", 256)
+    ours, theirs = gsocket.socketpair()
+    answer = Message(Kind.ANSWER, "00000000000000aa", body="x" * 200)
+    theirs.sendall((binary.encode(asks(1)) if owner else jsonlines.encode(answer)) * 100)
+    if owner:
+        stream = service.owners[1] = module.Stream(ours, 1, service._owner_gone)
+        reads = gevent.spawn(service._owner, stream)
+    else:
+        monkeypatch.setattr(module.address, "dial", lambda where, wait: ours)
+        service.dialling[1] = reads = gevent.spawn(service._machine, 1, "127.0.0.1:1")
+    gevent.sleep(0)
+    assert 0 < len(heard) < 50
+    theirs.close()
+    reads.join(5)
+    assert len(heard) > 100
+
+
+def test_a_list_that_is_no_object_cannot_be_used(service: Service) -> None:
+    service.config = replace(service.config, known=(5,))  # type: ignore[arg-type]
+    with pytest.raises(ConfigError):
+        service.run()
--- a/tests/platform/test_told.py
+++ b/tests/platform/test_told.py
@@ -12,6 +12,7 @@
 
 from stairplank import wire
 from stairplank.interface import NodeStatus
+from stairplank.platform import board as board_module
 from stairplank.platform import config, door
 from stairplank.platform.board import Board, number_of
 from stairplank.platform.messages import Unreadable
@@ -158,3 +159,10 @@
     assert got is not None
     zones = [m.entry.zone for m in got.machines]
     assert len(set(zones)) == 3 and zones[1] == zones[3]
+
+
+def test_zones_that_are_told_of_are_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(board_module, "ZONES_MOST", 3)
+    board = Board(("east",), ("std",), lambda: (1_000 * SECOND, 0))
+    got, _ = board.take(notice(1, *(row(n, site=f"z{n}") for n in range(1, 20)), whole=True))
+    assert got is not None and len({m.entry.zone for m in got.machines}) == 3
