--- a/stairplank/platform/board.py
+++ b/stairplank/platform/board.py
@@ -63,6 +63,7 @@
         self._kinds = {name: i for i, name in enumerate(kinds)}
         self._clock = clock
         self.unusable = 0  # entries, over this life
+        self._unreadable = 0  # the notice that was asked for anew as it could not be read
         self._started: dict[int, tuple[int, int]] = {}  # machine: its start as told, and on our clock
 
     def take(self, value: dict[str, Any]) -> tuple[Notice | None, bool]:
@@ -73,10 +74,16 @@
         pool = value.get("pool")
         if pool is None:
             return None, rev > self.rev
-        if not isinstance(pool, dict) or not isinstance(pool.get("hosts"), list):
-            raise Unreadable("a notice without machines")
         if rev <= self.rev:
             return None, False
+        if not isinstance(pool, dict) or not isinstance(pool.get("hosts"), list):
+            if self._unreadable != rev or rev != self.rev + 1:
+                self._unreadable = rev
+                raise Unreadable("a notice without machines")
+            # Danger: asked for again and again, it would hide every drain behind it.
+            self.rev = rev
+            self.unusable += 1
+            return None, False
         whole = pool.get("whole") is True
         if rev != self.rev + 1 and not whole:
             return None, True
--- a/stairplank/platform/core.py
+++ b/stairplank/platform/core.py
@@ -71,6 +71,7 @@
             ev.Unsent: self.links.unsent,
             ev.MachineSaid: self.links.said,
             ev.BoardTold: lambda event: self.machines.told(event.notice),
+            ev.BoardHeard: lambda event: self.handover.heard(),
             ev.BoardLost: lambda event: self.ground.feed(api.NodeList(api.ListKind.FAILED)),
             ev.StopAsked: self.owed.leave,
             ev.Parting: lambda event: self.links.part(),
@@ -118,7 +119,7 @@
         comes first, the board's word before the rest, then time, then new set-ups.
         """
         self.ground.begin(now)
-        events = sorted(events, key=lambda e: not isinstance(e, ev.BoardTold))
+        events = sorted(events, key=lambda e: not isinstance(e, (ev.BoardTold, ev.BoardHeard)))
         for event in events:
             if not is_ask(event):
                 self._take(self._handlers[type(event)], event)
--- a/stairplank/platform/events.py
+++ b/stairplank/platform/events.py
@@ -77,6 +77,11 @@
     notice: Notice
 
 
+@dataclass(frozen=True, slots=True)
+class BoardHeard:
+    """It says its last number, and nothing of what it has told is missing here."""
+
+
 @dataclass(frozen=True, slots=True)
 class BoardLost:
     pass
@@ -109,6 +114,7 @@
     | Unsent
     | MachineSaid
     | BoardTold
+    | BoardHeard
     | BoardLost
     | StopAsked
     | Parting
--- a/stairplank/platform/handover.py
+++ b/stairplank/platform/handover.py
@@ -5,8 +5,8 @@
 
 Invariants (tests/platform/test_platform_handover.py):
 
-1. A task at a machine that the list does not name waits for the list, ``NAMED_US`` at most: as long as the
-   list may be late. Then it is over, and its owner is told.
+1. A task at a machine that the list does not name waits until the board says that nothing is missing here,
+   ``NAMED_US`` at most: as long as the list may be late. Then it is over, and its owner is told.
 2. A task of which its machine has said the end is over as it is handed over (``ENDED_US``, ``ENDED_MOST``).
 3. One whose owner ends it while it waits is ended at its machine as that is named.
 
@@ -24,6 +24,7 @@
 from .messages import Cause, Kind, Message
 from .tables import Task, TaskState
 
+CROSSED_US = 50_000  # what the board said so soon after a hand-over may have been on its way before it
 # What the board would have told is told 4 s after it broke off or fell silent, and what ended is due to its
 # owner 8 s after its end. Danger: told at once that its task is over, an owner has it run twice.
 NAMED_US = 4_500_000
@@ -48,7 +49,7 @@
         self.ground = ground
         self.out, self.owed, self.links = out, owed, links
         self.machine_named: Callable[[str], int | None]
-        self.waiting: dict[str, dict[str, Task]] = {}
+        self.waiting: dict[str, dict[str, tuple[int, Task]]] = {}  # with the time of the hand-over
         self.ended: dict[tuple[int, str], tuple[int, int]] = {}  # when it was heard, and the cause
 
     def take(self, task: Task) -> None:
@@ -58,18 +59,26 @@
             self._adopt(task, machine)
             return
         self.ground.count("handed_over_unnamed")
-        self.waiting.setdefault(task.set_up.at, {})[task.id] = task
+        self.waiting.setdefault(task.set_up.at, {})[task.id] = self.ground.now, task
         self.ground.at(self.ground.now + NAMED_US, self._unnamed, task)
 
     def named(self, name: str, machine: int) -> None:
         """The list names that machine."""
-        for task in self.waiting.pop(name, {}).values():
+        for _, task in self.waiting.pop(name, {}).values():
             if task.state is TaskState.STANDING:
                 self._adopt(task, machine)
             else:
                 message = Message(Kind.RELEASE, task.id, cause=int(Cause.CANCELLED))
                 self.links.say(machine, message, keep=True)
 
+    def heard(self) -> None:
+        """The list is as new as the board's. Danger: told at once, without this, an owner's task may run on;
+        told late, what ended while no planner was here is told more than 8 s after its end."""
+        before = self.ground.now - CROSSED_US
+        late = [task for there in self.waiting.values() for at, task in there.values() if at < before]
+        for task in late:
+            self._unnamed(task)
+
     def end(self, machine: int, message: Message) -> None:
         """That machine ends a task which nothing here knows."""
         self.ended.pop((machine, message.id), None)
@@ -92,7 +101,7 @@
 
     def _unnamed(self, task: Task) -> None:
         there = self.waiting.get(task.set_up.at, {})
-        if there.get(task.id) is not task:
+        if there.get(task.id, (0, None))[1] is not task:
             return
         del there[task.id]
         if not there:
--- a/stairplank/platform/inbox.py
+++ b/stairplank/platform/inbox.py
@@ -72,7 +72,7 @@
 
     def add(self, event: ev.Event) -> None:
         match event:
-            case ev.BoardTold():
+            case ev.BoardTold() | ev.BoardHeard():
                 self._board.append(event)
             case ev.MachineSaid():
                 if is_owed(event) and self._overtakes(event):
--- a/stairplank/platform/owed.py
+++ b/stairplank/platform/owed.py
@@ -94,7 +94,7 @@
         self.open_tasks = 0
         self.open_of: dict[str, int] = {}  # client: tasks of it that are open
         self.open_bytes = 0
-        self.unread: Callable[[int], bool] = lambda conn: False  # whether set-ups of it wait to be handled
+        self.unread: Callable[[int], bool] = lambda conn: False  # whether something of it waits
         self.ready = False
         self.leaving_at = 0
         self.killed_at = 0  # at the soonest
@@ -149,14 +149,14 @@
         for conn in list(self.conns.values()):
             while conn.unheard and conn.unheard[0][0] < now - UNHEARD_US:
                 conn.unheard.popleft()
-            # Danger: a set-up that was read and waits its turn would find its connection closed, and is lost.
-            if conn.open or conn.closing or self.unread(conn.number):
+            if conn.open or conn.closing:
                 continue
             # Danger: connections that say nothing, or nothing of use, would take all descriptors.
-            if not conn.said and conn.came < now - SILENT_US:
-                self._close(conn, "silent")
-            elif conn.said and not conn.standing and conn.said < now - IDLE_US:
-                self._close(conn, "idle")
+            silent = not conn.said and conn.came < now - SILENT_US
+            idle = conn.said and not conn.standing and conn.said < now - IDLE_US
+            # Danger: a set-up that waits its turn would find its connection closed, and is lost.
+            if (silent or idle) and not self.unread(conn.number):
+                self._close(conn, "silent" if silent else "idle")
 
     def _close(self, conn: Conn, why: str) -> None:
         conn.closing = True
@@ -165,12 +165,12 @@
 
     def spare(self) -> int | None:
         """The connection that can best be done without: nothing under way, longest without a word of use."""
-        idle = [c for c in self.conns.values() if not c.open and not c.closing and not self.unread(c.number)]
-        if not idle:
-            return None
-        conn = min(idle, key=lambda c: (c.standing > 0, c.said, c.came))
-        conn.closing = True
-        return conn.number
+        idle = [c for c in self.conns.values() if not c.open and not c.closing]
+        for conn in sorted(idle, key=lambda c: (c.standing > 0, c.said, c.came)):
+            if not self.unread(conn.number):
+                conn.closing = True
+                return conn.number
+        return None
 
     # What owners say
 
--- a/stairplank/platform/service.py
+++ b/stairplank/platform/service.py
@@ -130,7 +130,9 @@
             while not self._is_done():
                 self.feed(ev.Due())
                 gevent.sleep(0.02)
-        self._part()
+            self._part()
+            while not self._is_done():  # a connection that was accepted meanwhile
+                gevent.sleep(0.02)
         accepting.kill()
         listener.close()
         for number in list(self.owners):  # the last answers leave: a plain exit may reset what is under way
--- a/stairplank/platform/watch.py
+++ b/stairplank/platform/watch.py
@@ -150,6 +150,8 @@
                     self._feed(ev.BoardTold(notice))
                 if missed:
                     return
+                if notice is None:
+                    self._feed(ev.BoardHeard())
             gevent.sleep(0)
 
     def _retire(self, conn: Any) -> None:
--- a/tests/platform/test_platform_core.py
+++ b/tests/platform/test_platform_core.py
@@ -607,22 +607,20 @@
 
 
 def test_what_an_owner_gave_up_goes_before_timers_after_a_stall() -> None:
-    """A timer that fell due meanwhile would send what its owner has given up."""
+    """A timer of the module that fell due meanwhile would send what its owner has given up."""
     desk = Desk(machines=1)
     conn = desk.owner()
-    big = "cores:16;memory:32;service:00000000b4d65521"
-    desk.ask(conn, 1, extras=big)
-    desk.connect()
-    link = desk.sent(1)[0][0]
-    desk.machine(link, answer(1))
-    desk.ask(conn, 2, extras=big)  # held: there is no room
-    assert not desk.sent(2)
-    desk.now += 3 * SECOND
-    given_up = ev.OwnerSaid(conn, Message(RELEASE, name(2), cause=int(Cause.ENDED)))
-    over = ev.MachineSaid(link, Message(RELEASE, name(1), cause=int(Cause.ENDED)))
-    desk._take(desk.core.woke(desk.now, [given_up, over]))
+    link = desk.send(conn, 1)
+    desk.ends(link, 1, Cause.FULL, note="nq")
+    (task,) = desk.core.owed.tasks.values()
+    (machine,) = desk.core.links.machines
+    bind = api.Bind(task.number, machine, 0)
+    desk.core.ground.at(desk.now + SECOND, desk.core.out.bind, bind)
+    desk.now += 2 * SECOND
+    given_up = ev.OwnerSaid(conn, Message(RELEASE, name(1), cause=int(Cause.ENDED)))
+    desk._take(desk.core.woke(desk.now, [given_up]))
     desk.passes(SECOND)
-    assert not desk.sent(2) and desk.words(2) == []
+    assert len(desk.sent(1)) == 1 and desk.words(1) == []
 
 
 def test_every_table_forgets() -> None:
--- a/tests/platform/test_platform_crossings.py
+++ b/tests/platform/test_platform_crossings.py
@@ -314,9 +314,11 @@
     one.until(lambda: one.service.board.rev == 1)
     owner = one.owner()
     holder = one.fleet[1]
+    one.board.frozen = True
     id = one.off(hands_over, owner, 7, holder.name)
     one.until(lambda: one.has_read(ev.OwnerSaid, id))
     assert one.off(owner.words, id, 1, 0.3) == []
+    one.board.frozen = False
     one.board.tell(holder.row())
     one.until(lambda: holder.socks)  # it is dialled, and heard
     holder.say(holder.socks[-1], Message(Kind.RELEASE, id, cause=int(Cause.ENDED)))
@@ -327,10 +329,12 @@
     one = live(machines=2, known=1)
     owner = one.owner()
     holder = one.fleet[1]
+    one.board.frozen = True
     id = one.off(hands_over, owner, 7, holder.name)
     one.off(owner.say, Message(Kind.RELEASE, id, cause=int(Cause.CANCELLED)))
     one.until(lambda: one.has_read(ev.OwnerSaid, id) and not one.service.core.owed.tasks)
     one.board.tell(holder.row())
+    one.board.frozen = False
     one.placed(owner, 8)
     one.until(lambda: one.service.core.handover.waiting == {})
     one.until(
--- a/tests/platform/test_platform_handover.py
+++ b/tests/platform/test_platform_handover.py
@@ -86,6 +86,19 @@
     assert desk.words(20) == [] and desk.words(21) == []
 
 
+def test_a_task_is_over_once_the_board_shows_that_no_such_machine_is_there() -> None:
+    """Waited for in any case, what ended while no planner was here would be told too late."""
+    desk = Desk()
+    conn = desk.owner()
+    desk.ask(conn, 1, at=AWAY)
+    desk.feed(ev.BoardHeard())  # may have been on its way before
+    assert desk.words(1) == []
+    desk.feed(after=SECOND)
+    desk.ask(conn, 2, at=AWAY)
+    desk.feed(ev.BoardHeard())
+    assert desk.words(1) == [(conn, RELEASE, Cause.RESET)] and desk.words(2) == []
+
+
 # Which machines there are
 
 
@@ -146,6 +159,15 @@
     assert len(desk.core.machines.addresses) == len(desk.core.machines.names) == 1
 
 
+def test_a_start_that_is_told_with_an_older_time_ends_nothing() -> None:
+    desk = Desk()
+    conn = desk.owner()
+    desk.told(*(row(n, born_ms=900_000) for n in (1, 2, 3)))
+    desk.place(conn, 1)
+    desk.told(*(row(n, born_ms=800_000) for n in (1, 2, 3)))
+    assert [w[1] for w in desk.words(1)] == [Kind.ANSWER]
+
+
 @pytest.mark.parametrize("dial_us", [20_000, 250_000, 2_000_000])
 def test_what_stood_at_a_vanished_machine_is_told_in_time_however_long_dials_take(dial_us: int) -> None:
     """Due 8 s after its end. The machine vanishes as its connection has just been made anew."""
--- a/tests/platform/test_told.py
+++ b/tests/platform/test_told.py
@@ -121,6 +121,17 @@
     assert b.rev == 0
 
 
+def test_a_notice_that_cannot_be_read_again_hides_nothing_behind_it() -> None:
+    b = board([0])
+    b.take(notice(1, row(1), whole=True))
+    bad = {"rev": 2, "pool": {"hosts": 7}}
+    with pytest.raises(Unreadable):
+        b.take(bad)  # asked for anew: it may have been spoilt on its way
+    assert b.take(bad) == (None, False) and b.unusable == 1
+    got, _ = b.take(notice(3, row(1, "DRAINING")))
+    assert got is not None and b.rev == 3
+
+
 def test_the_file_is_read_by_the_reader_of_the_simulators_settings(tmp_path: Path) -> None:
     path = tmp_path / "config.json"
     path.write_text(json.dumps(CONFIG))
