Idle connections are looked at by one test, and more orders of answers are forced

Only the connection that would be taken is looked at now. Stand-ins can cut an answer after so many bytes and hold words behind a gate; answers cut anywhere, after the give-up, and second ones some milliseconds late are forced with them, and were right before.

--- a/stairplank/platform/links.py
+++ b/stairplank/platform/links.py
@@ -131,13 +131,11 @@
         if machine is None or machine.gone_at:
             self.out.unreachable(thing)
             return
-        stale = self.ground.now - self.stale_us
-        ups = [
-            k
-            for k in machine.links.values()
-            if k.up and not k.suspect and (k.open or max(k.used, k.opened) > stale)
-        ]
+        ups = [k for k in machine.links.values() if k.up and not k.suspect]
         best = min(ups, key=lambda k: (len(k.open), -k.opened), default=None)
+        if best is not None and self._is_stale(best):
+            ups = [k for k in ups if not self._is_stale(k)]
+            best = min(ups, key=lambda k: (len(k.open), -k.opened), default=None)
         if best is not None and len(best.open) < self.shared:
             self._write(best, thing)
             return
@@ -152,6 +150,10 @@
         else:
             self._write(best, thing)
 
+    def _is_stale(self, link: Link) -> bool:
+        """Whether its machine may be about to close it as idle."""
+        return not link.open and max(link.used, link.opened) < self.ground.now - self.stale_us
+
     def _room(self) -> int:
         return 0 if self.parting else self.links_most - len(self.links) - len(self.closing)
 
--- a/tests/platform/platform_standins.py
+++ b/tests/platform/platform_standins.py
@@ -21,7 +21,7 @@
 from stairplank.planner.clock import now_us
 from stairplank.platform import binary, jsonlines
 from stairplank.platform import events as ev
-from stairplank.platform.messages import Kind, Message, Unreadable
+from stairplank.platform.messages import Cause, Kind, Message, Unreadable
 from stairplank.platform.service import Service
 
 ROOT = Path(__file__).resolve().parents[2]
@@ -149,6 +149,33 @@
     return Message(Kind.ANSWER, message.id, body="stands " + message.id)
 
 
+def cut(after: int) -> Callable[[socket.socket, Message], bool]:
+    """A fault: the answer breaks off after so many bytes, with a reset."""
+
+    def fault(sock: socket.socket, message: Message) -> bool:
+        sock.sendall(jsonlines.encode(running(message))[:after])
+        reset(sock)
+        return True
+
+    return fault
+
+
+def held(gate: threading.Event, *words: Kind) -> Callable[[socket.socket, Message], bool]:
+    """A fault: what is said comes once the gate is open, a second answer where it is named twice."""
+
+    def later(sock: socket.socket, message: Message) -> None:
+        gate.wait(WAIT)
+        for kind in words:
+            ended = Message(Kind.RELEASE, message.id, cause=int(Cause.ENDED))
+            sock.sendall(jsonlines.encode(running(message) if kind is Kind.ANSWER else ended))
+
+    def fault(sock: socket.socket, message: Message) -> bool:
+        threading.Thread(target=later, args=(sock, message), daemon=True).start()
+        return True
+
+    return fault
+
+
 class BoardStand(Server):
     """Keeps notices; ``frozen`` makes it say nothing more, ``mangled`` break off in the middle of the next.
     ``stuck`` connections (by their number, from 0) go on with the number they have; ``silent`` ones come up
--- a/tests/platform/test_platform_crossings.py
+++ b/tests/platform/test_platform_crossings.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import threading
 import time
 from collections.abc import Callable, Iterator
 from pathlib import Path
@@ -13,7 +14,7 @@
 import gevent
 import pytest
 from gevent import socket as gsocket
-from platform_standins import Live, Machine, Owner
+from platform_standins import Live, Machine, Owner, cut, held, reset, running
 
 from stairplank.platform import binary, inbox, jsonlines, links, owed
 from stairplank.platform import events as ev
@@ -387,9 +388,49 @@
 # Answers
 
 
-def test_an_answer_that_is_read_with_a_reset_behind_it_counts(live: Make) -> None:
-    from platform_standins import reset, running
+@pytest.mark.parametrize("after", [0, 1, 40, -1])
+def test_an_answer_that_is_cut_anywhere_fails_and_proves_nothing(live: Make, after: int) -> None:
+    one = live()
+    owner = one.owner()
+    one.fleet[0].fault = cut(after)
+    id = one.off(owner.ask, 1, "ingest")
+    assert [(m.kind, m.cause) for m in one.off(owner.words, id)] == [(Kind.RELEASE, Cause.RESET)]
+    assert len(one.fleet[0].launched()) == 1
+
+
+@pytest.mark.parametrize("sort", ["worker", "ingest"])
+def test_an_answer_that_comes_after_the_give_up_is_nobodys(live: Make, sort: str) -> None:
+    one = live()
+    owner, gate, machine = one.owner(), threading.Event(), one.fleet[0]
+    machine.fault = held(gate, Kind.ANSWER)
+    id = one.off(owner.ask, 1, sort)
+    one.until(machine.launched)
+    gives_up(one, owner, id, "word")
+    given_up = one.until(lambda: [m for _, m in machine.heard if m.kind is Kind.RELEASE])
+    gate.set()
+    one.until(lambda: one.has_read(ev.MachineSaid, id) and not one.service._inbox)
+    machine.fault = None
+    one.placed(owner, 2)
+    assert [m.id for m in owner.said if m.id == id] == [] and [m.id for m in given_up] == [id]
+    assert list(one.service.core.owed.tasks) == [f"{2:016x}"]
 
+
+def test_a_second_answer_some_milliseconds_late_is_not_passed_on(live: Make) -> None:
+    one = live()
+    owner, gate, machine = one.owner(), threading.Event(), one.fleet[0]
+    machine.fault = held(gate, Kind.ANSWER)
+    id = one.off(owner.ask, 1)
+    one.until(machine.launched)
+    gate.set()
+    assert [m.kind for m in one.off(owner.words, id)] == [Kind.ANSWER]
+    one.read.clear()
+    machine.say(machine.last(id), running(machine.launched()[0]))
+    one.until(lambda: one.has_read(ev.MachineSaid, id) and not one.service._inbox)
+    one.placed(owner, 2)
+    assert [m.kind for m in owner.said if m.id == id] == [Kind.ANSWER]
+
+
+def test_an_answer_that_is_read_with_a_reset_behind_it_counts(live: Make) -> None:
     one = live()
     owner = one.owner()
 
