--- a/tests/platform/test_platform_crossings.py
+++ b/tests/platform/test_platform_crossings.py
@@ -226,6 +226,9 @@
     one.placed(one.owner("127.0.0.9"), 1)
     one.off(owner.say, Message(Kind.TEST, f"{1:016x}", cause=0))
     assert one.off(owner.words, f"{1:016x}")
+    one.board.frozen = True  # the turn begins with nothing else
+    gevent.sleep(0.1)
+    one.until(lambda: not one.service._inbox)
     one.hold()
     id = f"{7:016x}"
     if word == "held":
