--- a/stairplank/platform/machines.py
+++ b/stairplank/platform/machines.py
@@ -1,6 +1,6 @@
 """Which machines there are, by the list. No I/O or clock.
 
-Invariants (tests/platform/test_platform_machines.py):
+Invariants (tests/platform/test_platform_handover.py):
 
 1. Only the list's own word of a machine's end, or a new one at its address, ends what stands there after
    ``links.GONE_US``. Left out of a whole list, it gets nothing new, and the rest goes on.
--- a/tests/platform/test_platform_crossings.py
+++ b/tests/platform/test_platform_crossings.py
@@ -1,6 +1,6 @@
 """Two events that cross, in the bad order every time: real connections, and a gate before the turns.
 
-Each of these failed with its mend taken out.
+Where a mend is at stake, the test failed with it taken out; those under "Answers" were right before.
 """
 
 from __future__ import annotations
