Tasks that wait for the list to name their machine are bounded

Cause: a task handed over at a machine that the list does not name, and ended by its owner before that, was kept in handover.waiting for up to 4.5 s and counted among nobody's tasks: an owner doing so without a pause filled the table. At most 4,096 wait; beyond, a task is over at once. The test fails without the guard.

--- a/stairplank/platform/handover.py
+++ b/stairplank/platform/handover.py
@@ -10,8 +10,8 @@
 2. A task of which its machine has said the end is over as it is handed over (``ENDED_US``, ``ENDED_MOST``).
 3. One whose owner ends it while it waits is ended at its machine as that is named.
 
-Tables: ``waiting`` by the machine's name and the id, ``ended`` by machine and id. Those that wait count among
-the owners' tasks, which are bounded.
+Tables: ``waiting`` by the machine's name and the id (``WAITING_MOST``: one that its owner has ended meanwhile
+counts among no owner's tasks any more), ``ended`` by machine and id.
 """
 
 from __future__ import annotations
@@ -29,6 +29,7 @@
 # owner 8 s after its end. Danger: told at once that its task is over, an owner has it run twice.
 NAMED_US = 4_500_000
 ENDED_US, ENDED_MOST = 10_000_000, 1024
+WAITING_MOST = 4096  # beyond, a task is over at once
 
 
 class Out(Protocol):
@@ -50,6 +51,7 @@
         self.out, self.owed, self.links = out, owed, links
         self.machine_named: Callable[[str], int | None]
         self.waiting: dict[str, dict[str, tuple[int, Task]]] = {}  # with the time of the hand-over
+        self.held = 0  # of them
         self.ended: dict[tuple[int, str], tuple[int, int]] = {}  # when it was heard, and the cause
 
     def take(self, task: Task) -> None:
@@ -59,12 +61,20 @@
             self._adopt(task, machine)
             return
         self.ground.count("handed_over_unnamed")
-        self.waiting.setdefault(task.set_up.at, {})[task.id] = self.ground.now, task
+        # Danger: handed over and ended again without a pause, they would be kept without a bound.
+        if self.held >= WAITING_MOST:
+            self.owed.ended(task, int(Cause.RESET))
+            return
+        there = self.waiting.setdefault(task.set_up.at, {})
+        self.held += task.id not in there
+        there[task.id] = self.ground.now, task
         self.ground.at(self.ground.now + NAMED_US, self._unnamed, task)
 
     def named(self, name: str, machine: int) -> None:
         """The list names that machine."""
-        for _, task in self.waiting.pop(name, {}).values():
+        there = self.waiting.pop(name, {})
+        self.held -= len(there)
+        for _, task in there.values():
             if task.state is TaskState.STANDING:
                 self._adopt(task, machine)
             else:
@@ -104,6 +114,7 @@
         if there.get(task.id, (0, None))[1] is not task:
             return
         del there[task.id]
+        self.held -= 1
         if not there:
             del self.waiting[task.set_up.at]
         if task.state is TaskState.STANDING:
--- a/tests/platform/test_platform_handover.py
+++ b/tests/platform/test_platform_handover.py
@@ -62,6 +62,19 @@
     assert len([w for n in range(2, 50) for w in desk.words(n)]) == 48 and desk.words(1) == []
 
 
+def test_those_that_owners_end_at_once_are_kept_within_a_bound(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(handover, "WAITING_MOST", 3)
+    desk = Desk()
+    conn = desk.owner()
+    for number in range(1, 11):
+        desk.ask(conn, number, at=f"{AWAY}-{number % 2}")
+        desk.feed(ev.OwnerSaid(conn, Message(RELEASE, name(number), cause=int(Cause.CANCELLED))))
+    assert sum(len(there) for there in desk.core.handover.waiting.values()) == 3
+    assert [n for n in range(1, 11) if desk.words(n)] == list(range(4, 11))
+    desk.passes(handover.NAMED_US + SECOND)
+    assert not desk.core.handover.waiting and desk.core.handover.held == 0
+
+
 def test_ends_of_unknown_tasks_are_kept_for_a_while_and_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(handover, "ENDED_MOST", 4)
     desk = Desk()
