--- a/review/standins.py
+++ b/review/standins.py
@@ -706,15 +706,18 @@
 ) -> int:
     stage = Stage(record, folder)
     code = NOT_RUN
+    playing = asyncio.ensure_future(case(stage))
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        asyncio.get_running_loop().add_signal_handler(number, playing.cancel)
     try:
-        breaches = await asyncio.wait_for(case(stage), 100)
+        breaches = await asyncio.wait_for(playing, 100)
         if stage.planner.has_ended():
             raise NotRunnable("the planner has ended by itself")
         for breach in breaches:
             record.line(f"BROKEN    {breach}")
             print(f"broken: {breach}")
         code = BROKEN if breaches else HELD
-    except (NotRunnable, TimeoutError, OSError) as error:
+    except (NotRunnable, TimeoutError, OSError, asyncio.CancelledError) as error:
         record.line(f"case      could not run: {error!r}")
         print(f"could not run: {error!r}")
     finally:
