--- a/review/2/case.py
+++ b/review/2/case.py
@@ -43,7 +43,9 @@
         )
     await asyncio.sleep(WATCHED_S)
     if first.id in machine.stands:
-        stage.record.line(f"case      {first.id} still stands, {PAUSE_S + WATCHED_S:g} s after its owner ended it")
+        stage.record.line(
+            f"case      {first.id} still stands, {PAUSE_S + WATCHED_S:g} s after its owner ended it"
+        )
     return breaches
 
 
--- a/review/standins.py
+++ b/review/standins.py
@@ -359,7 +359,9 @@
                 if self.has_vanished:
                     await asyncio.sleep(3600)
                 if writer in self.forgotten:
-                    self.record.line(f"machine   {self.name} resets a forgotten connection at {line.decode().strip()}")
+                    self.record.line(
+                        f"machine   {self.name} resets a forgotten connection at {line.decode().strip()}"
+                    )
                     reset(writer)
                     return
                 self._received(writer, json.loads(line))
@@ -531,14 +533,18 @@
             return
         task = self.tasks.get(id)
         if task is None:
-            at = self.record.line(f"owner     {self.name} is sent type {kind}, cause {cause}, for {id}: not its own")
+            at = self.record.line(
+                f"owner     {self.name} is sent type {kind}, cause {cause}, for {id}: not its own"
+            )
             self.foreign.append((at, id))
         elif kind == ANSWER:
             task.answered_at = self.record.line(f"owner     {self.name} has the answer for {id}")
             task.answer = values.get(DESCRIPTION, b"").decode()
             task.done.set()
         elif kind in (RELEASE, MOVE):
-            task.released_at = self.record.line(f"owner     {self.name} has the release of {id}, cause {cause}")
+            task.released_at = self.record.line(
+                f"owner     {self.name} has the release of {id}, cause {cause}"
+            )
             task.cause = cause
             task.done.set()
 
@@ -712,9 +718,7 @@
     os._exit(code)  # whatever the stand-ins still wait for ends with the process
 
 
-async def _play(
-    case: Callable[[Stage], Coroutine[Any, Any, list[str]]], record: Record, folder: Path
-) -> int:
+async def _play(case: Callable[[Stage], Coroutine[Any, Any, list[str]]], record: Record, folder: Path) -> int:
     stage = Stage(record, folder)
     code = NOT_RUN
     playing = asyncio.ensure_future(case(stage))
