A release that is lost with its connection is sent again until its machine confirms it

Cause, by a trace of the core's events and actions on the unchanged code: the release is written on link 4, LinkLost(4) follows 1 ms later, and nothing else: no dial, no message kept, running_count already 0. The next event of that machine is the dial for the next task, 2.0 s later. Links.send_message forgot a message once it was written, and the decision module had its outcome with the order, so that the task no longer counted.

Change: release_orders keeps each release until the machine confirms it: by its own release, an acknowledgement, or a reply to a request that was written later on the same connection. Unconfirmed after 1 s, a health check asks on that connection; a lost or silent one is replaced by a dial, with waits that double up to 4 s. A new connection begins with the machine's orders. The module's outcome of a cancelled or migrated task follows the confirmation.

Same cause on related paths: a release without a usable connection waited for a dial that nobody made; the release of a copy whose answer broke off with its connection was never sent; releases to a lost machine waited for the next task there (now dialled every 4 s); a process that ended did not wait for the confirmation (now 0.5 s at most).

The stand-in machines confirm releases, as the protocol has it.

--- a/stairplank/platform/adoption.py
+++ b/stairplank/platform/adoption.py
@@ -25,7 +25,7 @@
 
 from .. import interface as api
 from ..planner.event_loop import EventLoop
-from .messages import Cause, Kind, Message
+from .messages import Cause, Message
 from .tables import Task, TaskState
 
 CONFIRMATION_GRACE_US = (
@@ -51,12 +51,10 @@
     def ended(self, task: Task, cause: int | None) -> None: ...
 
 
-class Links(Protocol):
-    """The methods of the connections to machines that adoption uses."""
+class ReleaseOrders(Protocol):
+    """The method of the releases to machines that adoption uses."""
 
-    def send_message(
-        self, machine: int, message: Message, link: int = 0, *, must_arrive: bool = False
-    ) -> None: ...
+    def order(self, machine: int, task_id: str, cause: Cause) -> None: ...
 
 
 @dataclass(frozen=True, slots=True)
@@ -78,11 +76,13 @@
 class Adoption:
     """Running tasks that are being taken over, until both their clients and their machines are known."""
 
-    def __init__(self, loop: EventLoop, attempts: Attempts, requests: ClientRequests, links: Links) -> None:
+    def __init__(
+        self, loop: EventLoop, attempts: Attempts, requests: ClientRequests, releases: ReleaseOrders
+    ) -> None:
         self.loop = loop
         self.attempts = attempts
         self.requests = requests
-        self.links = links
+        self.releases = releases
         self.find_machine: Callable[[str], int | None]
         self.waiting: dict[str, dict[str, WaitingTask]] = {}
         self.waiting_count = 0  # number of tasks in ``waiting``
@@ -112,8 +112,7 @@
             if task.state is TaskState.RUNNING:
                 self._adopt(task, machine)
             else:
-                message = Message(Kind.RELEASE, task.id, cause=int(Cause.CANCELLED))
-                self.links.send_message(machine, message, must_arrive=True)
+                self.releases.order(machine, task.id, Cause.CANCELLED)
 
     def list_confirmed(self) -> None:
         """End waiting tasks whose machine is missing from the node list, now that the list is complete.
--- a/stairplank/platform/attempt_table.py
+++ b/stairplank/platform/attempt_table.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Callable
 
 from ..planner.event_loop import EventLoop
 from .tables import ATTEMPT_TRANSITIONS, Attempt, AttemptState
@@ -22,8 +23,10 @@
 class AttemptTable:
     """Every attempt on which a machine may still send a message."""
 
-    def __init__(self, loop: EventLoop) -> None:
+    def __init__(self, loop: EventLoop, on_expired: Callable[[Attempt], None]) -> None:
+        """``on_expired`` is called with each attempt that is removed because it was kept long enough."""
         self.loop = loop
+        self._on_expired = on_expired
         self.by_machine_and_id: dict[tuple[int, str], Attempt] = {}
         # Index of the attempts by machine: when many machines leave the list at once, a search through all
         # attempts for each of them would stall the process.
@@ -77,4 +80,7 @@
         while self._abandoned and (
             self._abandoned[0].forget_at <= self.loop.now or len(self._abandoned) > MAX_ABANDONED
         ):
-            self.forget_abandoned(self._abandoned.popleft())
+            attempt = self._abandoned.popleft()
+            if attempt.state in (AttemptState.ABANDONED, AttemptState.RELEASED):
+                self.end(attempt)
+                self._on_expired(attempt)
--- a/stairplank/platform/attempts.py
+++ b/stairplank/platform/attempts.py
@@ -12,6 +12,10 @@
    released or left running for its client to find; a duplicate of a task that already runs is always
    released.
 5. A second message of a machine on the same task changes nothing.
+6. When a running task is released at the request of its client or of the decision module, the outcome
+   follows once the machine has confirmed the release or is lost, or when the released attempt expires. Until
+   then the task counts as running there: it may, and a further task of its service would break the
+   spread of the service.
 
 Table: ``table`` (``attempt_table``); ``in_flight`` is the number of attempts that are waiting or sent.
 """
@@ -64,15 +68,23 @@
     """The methods of the connections to machines that attempts use."""
 
     def send(self, request: OutboundRequest) -> None: ...
-    def send_message(
-        self, machine: int, message: Message, link: int = 0, *, must_arrive: bool = False
-    ) -> None: ...
+    def send_message(self, link: int, message: Message) -> None: ...
     def complete(self, request: OutboundRequest, *, unanswered: bool = False) -> None: ...
     def is_ready(self, machine: int) -> bool: ...
     def place_of(self, machine: int) -> MachinePlace | None: ...
     def add_running(self, machine: int, by: int) -> None: ...
 
 
+class ReleaseOrders(Protocol):
+    """The methods of the releases to machines that attempts use."""
+
+    def order(self, machine: int, task_id: str, cause: Cause, link: int = 0) -> None: ...
+    def order_on_next_link(self, machine: int, task_id: str, cause: Cause) -> None: ...
+    def is_pending(self, machine: int, task_id: str) -> bool: ...
+    def confirmed(self, machine: int, task_id: str) -> None: ...
+    def drop(self, machine: int, task_id: str) -> None: ...
+
+
 class Adoption(Protocol):
     """The methods of the adoption of running tasks that attempts use."""
 
@@ -98,9 +110,10 @@
         self.tasks = tasks
         self.report_fields = report_fields
         self.links: Links
+        self.releases: ReleaseOrders
         self.requests: ClientRequests
         self.adoption: Adoption
-        self.table = AttemptTable(loop)
+        self.table = AttemptTable(loop, self._report_due_outcome)
         self.in_flight = 0
 
     def start(self) -> None:
@@ -144,7 +157,9 @@
         # A message on an earlier attempt with this id at this machine may still be in flight. If a late
         # "full" were taken as the new attempt's answer, it would prove that a task which runs there never
         # ran.
-        if (attempt.machine, task.id) in self.table.by_machine_and_id:
+        # An unconfirmed release of this id would end the new attempt.
+        is_known = (attempt.machine, task.id) in self.table.by_machine_and_id
+        if is_known or self.releases.is_pending(attempt.machine, task.id):
             self.loop.count("duplicate_attempts")
             return False
         return self.links.is_ready(attempt.machine) and self.loop.now < attempt.due_at
@@ -161,7 +176,7 @@
         if attempt is not None and attempt.state is AttemptState.RUNNING:
             self._order_release(attempt, Cause.CANCELLED)
             self.requests.migrated(attempt.task)
-            self._report_outcome(attempt, api.Result.CANCELLED, closed=True)
+            attempt.outcome_due = True
 
     def _attempt_of(self, task_number: int) -> Attempt | None:
         task = self.tasks.by_number.get(task_number)
@@ -201,13 +216,16 @@
         if attempt is not None and attempt.state is AttemptState.RUNNING:
             self._order_release(attempt, Cause.CANCELLED)
             self.requests.ended(task, None)
-            self._report_outcome(attempt, api.Result.CANCELLED, closed=True)
+            attempt.outcome_due = True
 
     def adopt(self, task: Task, machine: int) -> None:
         """Record a task that already runs at the machine as a running attempt."""
         old = self.table.get(machine, task.id)
         if old is not None:
             self.table.forget_abandoned(old)
+            self._report_due_outcome(old)
+        # The client looks after the task again, so an earlier release must not end it.
+        self.releases.drop(machine, task.id)
         attempt = Attempt(task, 0, machine, self.loop.now, task.expires_at, AttemptState.RUNNING)
         task.attempt = attempt
         self.table.add(attempt)
@@ -259,6 +277,7 @@
             since = attempt.last_status_at if attempt.task.request.at else attempt.started_at
             if before is not None and since >= before:
                 continue
+            self._report_due_outcome(attempt)
             if attempt.state is AttemptState.RUNNING:
                 self.loop.count("lost_with_machine")
                 # The machine is unreachable; if it comes back and still runs the task, it must end it then.
@@ -270,7 +289,9 @@
         """Handle a machine's message on a task; a release of an unknown task is acknowledged too."""
         attempt = self.table.get(machine, message.id)
         if message.kind is Kind.RELEASE:
-            self.links.send_message(machine, Message(Kind.ACKNOWLEDGEMENT, message.id), link)
+            self.links.send_message(link, Message(Kind.ACKNOWLEDGEMENT, message.id))
+        if message.kind in (Kind.RELEASE, Kind.ACKNOWLEDGEMENT):
+            self.releases.confirmed(machine, message.id)
         if attempt is None:
             self.loop.count("unknown_messages")
             if message.kind is Kind.RELEASE and message.cause in END_CAUSES:
@@ -354,7 +375,7 @@
         # The release is sent before ``complete``, which may close the connection. After it, only the close
         # would end the attempt, and the copy that is sent to another machine in this turn might start first.
         message = Message(Kind.RELEASE, attempt.id, cause=int(Cause.ENDED))
-        self.links.send_message(attempt.machine, message, attempt.link)
+        self.links.send_message(attempt.link, message)
         self.links.complete(attempt, unanswered=self.loop.now > attempt.due_at - UNANSWERED_US)
         self._abandon(attempt)
         self._report_outcome(attempt, result)
@@ -365,13 +386,17 @@
             self.links.add_running(attempt.machine, -1)
             self.table.retain_abandoned(attempt)
         attempt.state = self.loop.transition(ATTEMPT_TRANSITIONS, attempt.state, "released")
-        message = Message(Kind.RELEASE, attempt.id, cause=int(cause))
-        self.links.send_message(attempt.machine, message, link, must_arrive=True)
+        self.releases.order(attempt.machine, attempt.id, cause, link)
 
     def _abandon(self, attempt: Attempt) -> None:
         self._remove_in_flight(attempt)
         attempt.state = self.loop.transition(ATTEMPT_TRANSITIONS, attempt.state, "abandoned")
         self.table.retain_abandoned(attempt)
+        # The machine may have answered on a connection that then broke. Nobody would end that copy.
+        effect = self.settings.classes[attempt.task.request.class_index].effect
+        duplicate_action = abandoned_attempts.duplicate_action(effect, attempt.task.placement_state)
+        if duplicate_action is DuplicateAction.STOP:
+            self.releases.order_on_next_link(attempt.machine, attempt.id, Cause.CANCELLED)
 
     def _finish(
         self,
@@ -390,6 +415,18 @@
         if attempt.state is AttemptState.SENT:
             self.links.complete(attempt)
 
+    def release_settled(self, machine: int, task_id: str) -> None:
+        """Report the outcome of a release that its machine has confirmed, or that is given up."""
+        attempt = self.table.get(machine, task_id)
+        if attempt is not None:
+            self._report_due_outcome(attempt)
+
+    def _report_due_outcome(self, attempt: Attempt) -> None:
+        """Report the outcome of a released attempt, if it was held back until now."""
+        if attempt.outcome_due:
+            attempt.outcome_due = False
+            self._report_outcome(attempt, api.Result.CANCELLED, closed=True)
+
     def _report_outcome(
         self,
         attempt: Attempt,
--- a/stairplank/platform/core.py
+++ b/stairplank/platform/core.py
@@ -14,6 +14,7 @@
 | ``attempts`` | attempts at machines, including the abandoned ones |
 | ``health_checks`` | health checks of machines |
 | ``links`` | connections to machines, and the messages sent on them |
+| ``links.releases`` | releases that machines have not confirmed yet |
 | ``link_checks`` | finding lost machines, and connections that must be renewed or closed as idle |
 | ``machines`` | the machines of the node list |
 | ``adoption`` | running tasks that clients, the node list or machines report |
@@ -85,8 +86,10 @@
         machines: dict[int, Machine] = {}
         self.links = Links(self.loop, machines, sockets, dial_timeout_us, priced, idle_us)
         self.link_checks = LinkChecks(self.loop, self.links, self.attempts, self.health_checks, idle_us)
-        self.adoption = Adoption(self.loop, self.attempts, self.requests, self.links)
-        self.machines = Machines(self.loop, machines, self.links, self.attempts, self.adoption)
+        self.adoption = Adoption(self.loop, self.attempts, self.requests, self.links.releases)
+        self.machines = Machines(
+            self.loop, machines, self.links, self.links.releases, self.attempts, self.adoption
+        )
         self._connect_components()
         self.survives_faults = False  # True: an exception in a handler is logged and counted, not raised
         self._handlers = self._event_handlers()
@@ -99,6 +102,9 @@
         self.requests.adoption = self.adoption
         self.attempts.requests = self.requests
         self.attempts.links = self.links
+        self.attempts.releases = self.links.releases
+        self.links.releases.health_checks = self.health_checks
+        self.links.releases.on_settled = self.attempts.release_settled
         self.attempts.adoption = self.adoption
         self.health_checks.links = self.links
         self.links.requests = RequestRouter(self.attempts, self.health_checks)
--- a/stairplank/platform/health_checks.py
+++ b/stairplank/platform/health_checks.py
@@ -18,7 +18,7 @@
 from ..planner.event_loop import EventLoop
 from . import validation
 from .messages import Kind, Message
-from .tables import HealthCheck, OutboundRequest
+from .tables import HealthCheck, Link, OutboundRequest
 
 HEALTH_CHECK_TIMEOUT_US = 500_000
 _HEALTH_CHECK_ID_BIT = 1 << 63  # set in every health check's id; no task's number is large enough to set it
@@ -28,6 +28,7 @@
     """The methods of the connections to machines that health checks use."""
 
     def send(self, request: OutboundRequest) -> None: ...
+    def send_on(self, link: Link, request: OutboundRequest) -> None: ...
     def complete(self, request: OutboundRequest, *, unanswered: bool = False) -> None: ...
 
 
@@ -51,6 +52,12 @@
         """Start a health check for the links: dials to the machine fail, and it may still answer."""
         self._start(self._new(machine, is_requested=False))
 
+    def check_link(self, link: Link) -> None:
+        """Start a health check on a given connection: the machine must show that it reads there."""
+        check = self._new(link.machine, is_requested=False)
+        self._add(check)
+        self.links.send_on(link, check)
+
     def is_pending(self, check: HealthCheck) -> bool:
         """Return whether the health check still waits for its result."""
         return check.id in self.pending
@@ -74,9 +81,12 @@
         return HealthCheck(check_id, machine, self.loop.now, is_requested)
 
     def _start(self, check: HealthCheck) -> None:
+        self._add(check)
+        self.links.send(check)
+
+    def _add(self, check: HealthCheck) -> None:
         self.pending[check.id] = check
         self.loop.call_at(check.started_at + HEALTH_CHECK_TIMEOUT_US, self._timed_out, check)
-        self.links.send(check)
 
     def _finish(self, check: HealthCheck, is_healthy: bool, report: tuple[float, ...] = ()) -> None:
         if self.pending.pop(check.id, None) is None:
--- a/stairplank/platform/link_checks.py
+++ b/stairplank/platform/link_checks.py
@@ -8,6 +8,7 @@
 2. A machine counts as unreachable only if dials fail for ``UNREACHABLE_US`` while nothing is received from
    it, or if it refuses connections for ``REFUSED_US`` and no connection is up.
 3. A connection with an outstanding request is not closed as idle.
+4. A machine with an unconfirmed release that must arrive is checked in every round.
 """
 
 from __future__ import annotations
@@ -67,6 +68,7 @@
         self.loop = loop
         self.links = links
         self.pool = links.pool
+        self.releases = links.releases
         self.attempts = attempts
         self.health_checks = health_checks
         self.forget: Callable[[Machine], None]
@@ -107,7 +109,7 @@
         """
         if machine.running_count and not machine.links:
             return True
-        return bool(machine.waiting or machine.failing_since or machine.removed_at)
+        return bool(machine.waiting or machine.failing_since or machine.removed_at or machine.order_retry_at)
 
     def _check_machine(self, machine: Machine) -> None:
         now = self.loop.now
@@ -116,6 +118,9 @@
             if not machine.running_count or now > machine.removed_at + REMOVAL_GRACE_US:
                 self._remove(machine)
             return
+        if machine.orders:
+            self.releases.expire(machine)
+            self.releases.retry_if_due(machine)
         links_up = machine.links_up()
         if not machine.dials() and now >= machine.next_dial_at:
             self._dial_if_due(machine, links_up)
@@ -125,9 +130,7 @@
 
     def _dial_if_due(self, machine: Machine, links_up: list[Link]) -> None:
         if machine.running_count and self._is_due(machine):
-            idle = [link for link in links_up if not link.outstanding]
-            if idle and len(machine.links) >= self.pool.max_pool:
-                self.links.close(min(idle, key=lambda link: link.opened_at))
+            self.pool.make_room(machine)
             if not links_up or len(machine.links) < self.pool.max_pool:
                 self.pool.dial_or_queue(machine)
         elif machine.waiting and (not links_up or self.pool.may_dial(machine)):
@@ -168,6 +171,7 @@
             self.loop.emit(ev.Report("machine lost", fields))
         self.links.close_links_to(machine)
         self.attempts.machine_lost(machine.id)
+        self.releases.machine_unreachable(machine)
         machine.failing_since = 0
         machine.refused_since = 0
 
--- a/stairplank/platform/link_pool.py
+++ b/stairplank/platform/link_pool.py
@@ -57,6 +57,12 @@
         """Return whether another connection to the machine may be dialled now."""
         return len(machine.links) < self.max_pool and self.capacity() > 0
 
+    def make_room(self, machine: Machine) -> None:
+        """Close the machine's oldest idle connection if it has as many connections as it may."""
+        idle = [link for link in machine.links_up() if not link.outstanding]
+        if idle and len(machine.links) >= self.max_pool:
+            self._close(min(idle, key=lambda link: link.opened_at))
+
     def dial(self, machine: Machine) -> None:
         """Dial a new connection to the machine."""
         link = Link(self.loop.next_number(), machine.id)
@@ -89,7 +95,7 @@
             machine = self.machines.get(self._next_queued())
             if machine is None or machine.removed_at or machine.dials():
                 continue
-            if machine.waiting or machine.running_count:
+            if machine.waiting or machine.running_count or machine.order_retry_at:
                 self.dial(machine)
 
     def restore_free_share(self) -> None:
--- a/stairplank/platform/links.py
+++ b/stairplank/platform/links.py
@@ -8,10 +8,10 @@
 2. After the planner closes a connection, it reads on until the machine has closed it too, because a release
    may still be in flight. After a connection to a machine with running tasks breaks, the machine is dialled
    at once and sends again what was lost.
-3. At most ``MAX_PENDING_MESSAGES`` messages are kept for a machine without a usable connection.
+3. A new connection carries the unconfirmed releases before any placement request.
 
-``pool`` (``link_pool``) owns the connections; ``link_checks`` closes idle connections and detects unreachable
-machines.
+``pool`` (``link_pool``) owns the connections; ``releases`` (``release_orders``) sends releases until they are
+confirmed; ``link_checks`` closes idle connections and detects unreachable machines.
 """
 
 from __future__ import annotations
@@ -24,11 +24,11 @@
 from . import events as ev
 from .link_pool import LinkPool
 from .messages import Message
+from .release_orders import ReleaseOrders
 from .tables import HealthCheck, Link, Machine, MachinePlace, OutboundRequest
 
 IDLE_LINK_US = 4_000_000  # a connection that is unused for this long is closed
 DIAL_BACKOFF_US, MAX_DIAL_BACKOFF_US = 100_000, 800_000  # first and longest wait after a failed dial
-MAX_PENDING_MESSAGES = 1024
 # Requests in flight on one connection before another is dialled, if the settings give handshakes a price.
 MAX_SHARED = 4
 
@@ -64,6 +64,7 @@
         self.requests: Requests
         self.pool = LinkPool(loop, machines, sockets // 2, self.close)
         self.links = self.pool.links
+        self.releases = ReleaseOrders(loop, self.pool)
         self.set_dialling(dial_timeout_us, has_handshake_price)
         # Machines close a connection that is idle for ``idle_us``. A request that is written during that
         # close may have run, so a connection counts as stale after three quarters of it.
@@ -128,6 +129,13 @@
         if not dials:
             self.pool.dial_or_queue(machine)
 
+    def send_on(self, link: Link, request: OutboundRequest) -> None:
+        """Send a request on a given connection, if that is up."""
+        if link.is_up:
+            self._write(link, request)
+        else:
+            self.requests.unreachable(request)
+
     def _best_link(self, machine: Machine) -> Link | None:
         """Return the usable connection with the fewest outstanding requests, preferring newer connections."""
         usable = [link for link in machine.usable_links() if not self._is_stale(link)]
@@ -149,6 +157,8 @@
             self.requests.unreachable(request, api.Result.NOT_SENT)
             return
         link.outstanding[request.id] = request
+        link.write_count += 1
+        request.write_number = link.write_count
         link.used_at = self.loop.now
         self.requests.written(request, link.number)
         self.loop.emit(ev.SendToMachine(link.number, self.requests.message_of(request)))
@@ -168,28 +178,11 @@
         if link.is_suspect and not link.outstanding:
             self.close(link)
 
-    def send_message(
-        self, machine: int, message: Message, link: int = 0, *, must_arrive: bool = False
-    ) -> None:
-        """Send a message that expects no answer.
-
-        It is sent on connection ``link`` if that is up. Otherwise, with ``must_arrive`` or without a
-        ``link``, it is sent on any usable connection, or on the next one that comes up.
-        """
-        known = self.machines.get(machine)
-        if known is None:
-            return
-        given = known.links.get(link)
-        if given is not None and given.is_up:
+    def send_message(self, link: int, message: Message) -> None:
+        """Send a message that expects no answer on a connection, if that is up."""
+        known = self.links.get(link)
+        if known is not None and known.is_up:
             self.loop.emit(ev.SendToMachine(link, message))
-            return
-        if link and not must_arrive:
-            return  # the close of its connection has already abandoned the attempt
-        usable = known.usable_links()
-        if usable:
-            self.loop.emit(ev.SendToMachine(usable[0].number, message))
-        elif len(known.pending_messages) < MAX_PENDING_MESSAGES:
-            known.pending_messages[message.id] = message
 
     def add_running(self, machine: int, by: int) -> None:
         """Change the number of tasks that run at the machine."""
@@ -212,9 +205,7 @@
         machine.refused_since = 0
         machine.next_dial_at = 0
         machine.opened_at = link.opened_at
-        pending, machine.pending_messages = machine.pending_messages, {}
-        for message in pending.values():
-            self.loop.emit(ev.SendToMachine(link.number, message))
+        self.releases.link_up(machine, link)
         # If no other dial is under way, all waiting requests are sent on this connection: nothing else would
         # send them before their deadlines.
         is_last_dial = not machine.dials()
@@ -269,6 +260,7 @@
     def link_lost(self, event: ev.LinkLost) -> None:
         """Handle a connection that broke or that either side closed."""
         link = self.links.get(event.link)
+        number = link.machine if link is not None else self.pool.closing.get(event.link)
         self.pool.closing.pop(event.link, None)
         if link is not None:
             # ``is_up`` is cleared first, so that ``close`` does not add the lost connection to ``closing``.
@@ -277,6 +269,9 @@
             link.is_up = False
             self.close(link, event.unsent)
             self._dial_again(link.machine)
+        machine = self.machines.get(number) if number is not None else None
+        if machine is not None:
+            self.releases.link_lost(machine, event.link)
         self.pool.dial_queued()
 
     def _dial_again(self, number: int) -> None:
@@ -329,6 +324,9 @@
         machine.last_received_at = link.used_at
         machine.failing_since = 0
         machine.refused_since = 0
+        request = link.outstanding.get(event.message.id)
+        if machine.orders and request is not None:
+            self.releases.reply_received(machine, link, request)
         self.requests.received(machine.id, link.number, event.message)
 
     # Closing
--- a/stairplank/platform/machines.py
+++ b/stairplank/platform/machines.py
@@ -31,6 +31,12 @@
     def drop_waiting(self, machine: Machine) -> None: ...
 
 
+class ReleaseOrders(Protocol):
+    """The operation on releases to machines that this component uses."""
+
+    def drop_all(self, machine: Machine, before: int | None = None) -> None: ...
+
+
 class Attempts(Protocol):
     """The operations on attempts that this component uses."""
 
@@ -51,6 +57,7 @@
         loop: EventLoop,
         machines: dict[int, Machine],
         links: Links,
+        releases: ReleaseOrders,
         attempts: Attempts,
         adoption: Adoption,
     ) -> None:
@@ -58,6 +65,7 @@
         self.loop = loop
         self.machines = machines
         self.links = links
+        self.releases = releases
         self.attempts = attempts
         self.adoption = adoption
         self.names: dict[str, int] = {}
@@ -69,6 +77,7 @@
 
     def forget(self, machine: Machine) -> None:
         """Remove a machine from the tables, once no message is expected from it."""
+        self.releases.drop_all(machine)
         del self.machines[machine.id]
         if self.names.get(machine.name) == machine.id:
             del self.names[machine.name]
@@ -120,6 +129,7 @@
             self.names[row.name] = entry.id
         elif entry.started_us > machine.started_at:
             machine.started_at = entry.started_us
+            self.releases.drop_all(machine, before=entry.started_us)
             self.attempts.machine_lost(machine.id, before=entry.started_us)
         machine.status = entry.status
         machine.place = Location(entry.zone, entry.group)
--- a/stairplank/platform/service.py
+++ b/stairplank/platform/service.py
@@ -38,6 +38,8 @@
 SHUTDOWN_TIMEOUT_S = 60.0
 SHUTDOWN_POLL_S = 0.02
 CLIENT_CLOSE_TIMEOUT_S = 0.3
+MAX_CONFIRMATION_WAIT_US = 500_000  # the longest wait for machines to confirm releases, at a shutdown
+CONFIRMATION_MARGIN_US = 600_000  # left until SIGKILL for the closing of the connections
 MACHINE_CLOSE_TIMEOUT_S = 0.2  # wait for machines to close connections that the planner has half-closed
 # Placement requests may arrive until 0.6 s after SIGTERM. The shutdown waits until this long after SIGTERM
 # for the rest of a message that has arrived in part.
@@ -189,6 +191,7 @@
             while not self._is_done():
                 self.driver.enqueue(ev.TimerDue())
                 gevent.sleep(SHUTDOWN_POLL_S)
+            self._await_confirmations()
             self._close_machines()
             while not self._is_done():  # a client may have connected while machines' connections were closed
                 gevent.sleep(SHUTDOWN_POLL_S)
@@ -212,6 +215,14 @@
             gevent.sleep(0)
         return not queue and shutdown.is_done()
 
+    def _await_confirmations(self) -> None:
+        """Give machines time to confirm releases: a lost release would never be sent again."""
+        latest_us = self.core.shutdown.killed_at - CONFIRMATION_MARGIN_US
+        end_us = min(now_us() + MAX_CONFIRMATION_WAIT_US, latest_us)
+        while now_us() < end_us and self.core.links.releases.awaits_confirmation():
+            self.driver.enqueue(ev.TimerDue())
+            gevent.sleep(SHUTDOWN_POLL_S)
+
     def _close_machines(self) -> None:
         """Close the connections to machines before those to clients, and wait until they are closed.
 
--- a/stairplank/platform/tables.py
+++ b/stairplank/platform/tables.py
@@ -130,6 +130,8 @@
     forget_at: int = 0  # when an abandoned attempt is forgotten
     place: MachinePlace | None = None  # the machine's location and start time at the bind
     last_status_at: int = 0  # time of the machine's last status update for it
+    write_number: int = 0  # position among the requests written on the connection
+    outcome_due: bool = False  # the module's outcome follows once the machine has confirmed the release
 
     @property
     def id(self) -> str:
@@ -149,6 +151,7 @@
     started_at: int
     is_requested: bool = True
     link: int = 0
+    write_number: int = 0  # position among the requests written on the connection
 
 
 # A request that is sent to a machine and awaits an answer.
@@ -165,9 +168,26 @@
     opened_at: int = 0
     used_at: int = 0
     is_suspect: bool = False  # an answer on the link was overdue, so no new request is sent on it
+    write_count: int = 0  # requests written so far
     outstanding: dict[str, OutboundRequest] = field(default_factory=dict)
 
 
+@dataclass(slots=True, eq=False)
+class ReleaseOrder:
+    """A release that a machine was ordered to carry out and has not confirmed.
+
+    ``must_arrive``: whether the machine is dialled for it; other orders wait for the next connection.
+    """
+
+    machine: int
+    message: Message
+    ordered_at: int
+    must_arrive: bool
+    link: int = 0  # the connection that last carried it; 0 if there was none or it is lost
+    was_sent: bool = False
+    write_number: int = 0  # ``Link.write_count`` of that connection when the order was written
+
+
 @dataclass(slots=True, eq=False)
 class Machine:
     """A machine of the node list, with its connections and the requests that wait for a connection."""
@@ -180,7 +200,9 @@
     place: Location
     links: dict[int, Link] = field(default_factory=dict)
     waiting: deque[OutboundRequest] = field(default_factory=deque)
-    pending_messages: dict[str, Message] = field(default_factory=dict)
+    orders: dict[str, ReleaseOrder] = field(default_factory=dict)  # unconfirmed releases by task id
+    order_retry_us: int = 0  # wait from the last retry of the orders to the next
+    order_retry_at: int = 0  # when to dial for an order that must arrive; 0 without one
     running_count: int = 0
     next_dial_at: int = 0
     failed_dials: int = 0
--- a/tests/platform/platform_standins.py
+++ b/tests/platform/platform_standins.py
@@ -96,7 +96,9 @@
 
     ``fault`` is called for each placement request and returns True if it has replaced the answer. While
     ``may_read`` is not set, the machine reads nothing. Once the planner has half-closed a connection, the
-    machine sends ``final_messages`` on it.
+    machine sends ``final_messages`` on it. It confirms each release of a task in ``running``. What arrives on
+    a connection in ``forgotten`` is answered by a reset and not recorded, what arrives on one in ``deaf`` is
+    discarded.
     """
 
     def __init__(self, name: str, fault: Callable[[socket.socket, Message], bool] | None = None) -> None:
@@ -107,6 +109,9 @@
         self.may_read = threading.Event()
         self.may_read.set()
         self.final_messages: list[Message] = []
+        self.running: set[str] = set()
+        self.forgotten: set[socket.socket] = set()
+        self.deaf: set[socket.socket] = set()
         super().__init__()
 
     def row(self, health: str = "SERVING") -> dict[str, Any]:
@@ -134,12 +139,21 @@
     def placement_requests(self) -> list[Message]:
         return [m for _, m in self.received if m.kind is Kind.PLACE]
 
+    def releases_of(self, id: str) -> list[float]:
+        """Return the times at which a release of this task arrived."""
+        return [at for at, m in self.received if m.id == id and m.kind is Kind.RELEASE]
+
     def serve(self, sock: socket.socket) -> None:
         lines = jsonlines.LineReader()
         while True:
             self.may_read.wait(WAIT_S)
             if not (data := sock.recv(65_536)):
                 break
+            if sock in self.forgotten:
+                reset(sock)
+                return
+            if sock in self.deaf:
+                continue
             for line in lines.feed(data):
                 message = jsonlines.decode(line)
                 self._connection_by_id[message.id] = sock
@@ -148,7 +162,11 @@
                     load = {"load": "x0:30;x1:90;utilization:0.1"} if message.cause else {}
                     self.send(sock, Message(Kind.HEALTH_CHECK_RESULT, message.id, load, 1))
                 elif message.kind is Kind.PLACE and not (self.fault and self.fault(sock, message)):
+                    self.running.add(message.id)
                     self.send(sock, running_answer(message))
+                elif message.kind is Kind.RELEASE and message.id in self.running:
+                    self.running.remove(message.id)
+                    self.send(sock, Message(Kind.RELEASE, message.id, cause=int(Cause.CANCELLED)))
         while self.final_messages:
             self.send(sock, self.final_messages.pop(0))
         sock.close()
--- a/tests/platform/test_platform_crossings.py
+++ b/tests/platform/test_platform_crossings.py
@@ -319,16 +319,7 @@
     service.node_list_service.frozen = False
     service.place(client, 8)
     service.wait_until(lambda: service.service.core.adoption.waiting == {})
-    service.wait_until(
-        lambda: (
-            service.service.core.links.machines
-            and any(
-                m.pending_messages or m.links
-                for m in service.service.core.links.machines.values()
-                if m.name == machine.name
-            )
-        )
-    )
+    service.wait_until(lambda: machine.releases_of(id))
 
 
 def test_a_task_whose_end_was_reported_before_its_adoption_is_ended(make_service: MakeService) -> None:
--- a/tests/platform/test_platform_links.py
+++ b/tests/platform/test_platform_links.py
@@ -189,16 +189,6 @@
     assert link in harness.closed_links
 
 
-def test_messages_for_a_machine_without_a_connection_are_bounded() -> None:
-    harness = CoreHarness(machines=1)
-    machine = next(iter(harness.core.links.machines.values()))
-    for number in range(links.MAX_PENDING_MESSAGES + 50):
-        harness.core.links.send_message(
-            machine.id, Message(RELEASE, task_id(number), cause=31), must_arrive=True
-        )
-    assert len(machine.pending_messages) == links.MAX_PENDING_MESSAGES
-
-
 def test_machines_beyond_the_bound_are_not_added(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(machines, "MAX_MACHINES", 4)
     harness = CoreHarness(machines=3)
--- a/tests/platform/test_platform_random_events.py
+++ b/tests/platform/test_platform_random_events.py
@@ -11,6 +11,8 @@
 from stairplank.platform import attempts, client_requests, links, tables, task_table
 
 SEEDS = range(12)
+# Some faults need a rare order of events, which about one sequence in thirty has.
+INJECTION_SEEDS = range(160)
 
 
 @pytest.mark.parametrize("seed", SEEDS)
@@ -87,7 +89,7 @@
     inject_fault: InjectFault, fault: str, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     inject_fault(monkeypatch)
-    for seed in SEEDS:
+    for seed in INJECTION_SEEDS:
         if any(found.startswith(fault) for found in RandomDay(seed).play()):
             return
     pytest.fail("the checker found no such fault with any seed")
--- a/tests/scale/counted_site.py
+++ b/tests/scale/counted_site.py
@@ -161,11 +161,15 @@
         self.settle()
 
     def end_adopted(self) -> None:
-        """Sends the client's end of every adopted task."""
+        """Sends the client's end of every adopted task; the workers acknowledge the releases."""
+        sent_before = len(self.to_machines)
         for number in range(1, self.last_task + 1):
             self.feed(
                 ev.ClientMessage(self.client_link, Message(ENDED, task_id(number), cause=int(Cause.ENDED)))
             )
+        for link, message in self.to_machines[sent_before:]:
+            if message.kind is Kind.RELEASE:
+                self.receive_from_machine(link, Message(Kind.ACKNOWLEDGEMENT, message.id))
         self.settle()
 
     def disconnect_client(self) -> None:
