gRPC form: the stop of a migration that is lost with its link is sent again

Tried, each with the link lost after the stop was written and with the link down as it was decided: a cancelled running task, a cancelled accepted task, a migration; and a released member of a group with the link lost after the stop.

Seen: the cancellations and the group's member were stopped again, as the node's report on the next link names them and their placement is cancelled. No decision module of this repository evicts at present; the interface offers it.

Change: an attempt keeps the reason of its last stop, and a report that still names it is answered by that stop again.

--- a/stairplank/planner/attempt_lifecycle.py
+++ b/stairplank/planner/attempt_lifecycle.py
@@ -151,7 +151,11 @@
     # Stopping
 
     def stop(self, attempt: Attempt, reason: ev.StopReason) -> None:
-        """Stop an attempt at its node, now or, unless it is abandoned, when its link is up again."""
+        """Stop an attempt at its node, now or, unless it is abandoned, when its link is up again.
+
+        The reason is kept, as a stop that was lost with its link is sent again on the next one.
+        """
+        attempt.stop_reason = reason
         if self.links.is_up(attempt.node):
             self.context.emit(ev.SendStop(attempt.node, attempt.id, reason))
         elif reason is not ev.StopReason.ABANDONED:
--- a/stairplank/planner/node_links.py
+++ b/stairplank/planner/node_links.py
@@ -356,6 +356,8 @@
         placement = attempt.placement
         if placement.cancelled or placement.state is PlacementState.CANCELLED:
             self.attempts.stop(attempt, ev.StopReason.CANCELLED)
+        elif attempt.stop_reason is ev.StopReason.MIGRATED:
+            self.attempts.stop(attempt, ev.StopReason.MIGRATED)
         elif (
             was_accepted
             and was_unsettled
--- a/stairplank/planner/placement.py
+++ b/stairplank/planner/placement.py
@@ -60,6 +60,7 @@
         "placement",
         "running",
         "state",
+        "stop_reason",
         "waiting",
     )
 
@@ -81,6 +82,7 @@
         self.created_at = context.now
         self._enter(state)
         self.deadline = 0  # time at which the attempt is abandoned unless it is bound
+        self.stop_reason: ev.StopReason | None = None  # why the node was last ordered to stop it
         self.leased_until = 0  # time until which the node certainly keeps a committed group member
 
     def transition(self, event: AttemptEvent) -> None:
--- a/tests/groups/test_core_groups.py
+++ b/tests/groups/test_core_groups.py
@@ -401,3 +401,15 @@
                     if task.running:
                         harness.feed(ev.NodeEnded(node, task.id, api.Result.FINISHED, api.Reason.UNTOLD))
             assert harness.core.counts["groups_finished"] == 1 and not harness.core.groups.records
+
+
+def test_the_stop_of_a_released_member_that_a_broken_link_has_lost_is_sent_again() -> None:
+    harness = GroupHarness()
+    offers = harness.start_group(count=2)
+    harness.feed(ev.PlacementCancelled(1, 1, 0))
+    stopped = harness.actions_of_type(ev.SendStop)[0]
+    task = next(o.task for o in offers if o.id == stopped.id)
+    harness.feed(ev.LinkDown(stopped.node, frozenset()))
+    harness.actions.clear()
+    harness.connect_node(stopped.node, reported_tasks=[ev.NodeTask(stopped.id, task, running=True)])
+    assert stopped.id in harness.stopped_ids()
