A machine that left the list is kept until it has confirmed its releases

Cause, found by reading the repair of the lost release again: LinkChecks._check_machine forgot a machine that a full list omits as soon as no task counts as running there, which is the moment its release is ordered, and dropped the unconfirmed release with it.

Change: an unconfirmed release that must arrive counts like a running task there.

Measured: test_a_machine_that_a_full_list_omits_is_kept_until_it_has_confirmed_a_release fails without the change (KeyError: the machine is gone) and passes with it.

--- a/stairplank/platform/link_checks.py
+++ b/stairplank/platform/link_checks.py
@@ -113,9 +113,10 @@
 
     def _check_machine(self, machine: Machine) -> None:
         now = self.loop.now
-        if machine.status is api.NodeStatus.GONE and (machine.removed_at or not machine.running_count):
+        has_tasks = machine.running_count > 0 or machine.order_retry_at > 0
+        if machine.status is api.NodeStatus.GONE and (machine.removed_at or not has_tasks):
             # The list reports the machine as removed, or a complete list omits it and it runs no task.
-            if not machine.running_count or now > machine.removed_at + REMOVAL_GRACE_US:
+            if not has_tasks or now > machine.removed_at + REMOVAL_GRACE_US:
                 self._remove(machine)
             return
         if machine.orders:
--- a/tests/platform/test_platform_release_orders.py
+++ b/tests/platform/test_platform_release_orders.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import pytest
-from core_harness import SECOND, CoreHarness, machine_row, task_id
+from core_harness import SECOND, CoreHarness, machine_row, node_list_message, task_id
 
 from stairplank import interface as api
 from stairplank.platform import attempt_table, health_checks, link_checks, release_orders
@@ -225,6 +225,28 @@
     assert len(releases_sent(harness, 1)) == sent
 
 
+def test_a_machine_that_a_full_list_omits_is_kept_until_it_has_confirmed_a_release() -> None:
+    """The machine was forgotten as soon as no task counted as running there, and its lost release with it."""
+    harness = CoreHarness(machines=2)
+    conn = harness.add_client()
+    link = harness.request_and_accept(conn, 1)
+    omitted = harness.machine_of(link)
+    harness.rev += 1
+    message = node_list_message(harness.rev, machine_row(3 - omitted), whole=True)
+    update = harness.node_list.apply(message)[0]
+    assert update is not None
+    harness.feed(ev.NodeListUpdated(update))
+    cancel(harness, conn, 1)
+    harness.advance(SECOND // 2)
+    lose_link(harness, link)
+    harness.bring_links_up()
+    again = releases_sent(harness, 1)[-1]
+    assert again != link and len(harness.core.links.machines) == 2
+    harness.receive_release(again, 1, Cause.CANCELLED)
+    harness.advance(SECOND)
+    assert len(harness.core.links.machines) == 1
+
+
 def test_an_adopted_task_is_not_ended_by_an_earlier_release() -> None:
     harness, conn, link = harness_with_running_task()
     cancel(harness, conn, 1)
