--- a/stairplank/platform/client_requests.py
+++ b/stairplank/platform/client_requests.py
@@ -1,5 +1,6 @@
-"""Handles clients' requests, from a placement request to its one answer and, for a task that ran, its one
-release. No I/O or clock.
+"""Handles clients' requests, from a placement request to its one answer. No I/O or clock.
+
+A task that ran gets one release too.
 
 Invariants (tests/platform/test_platform_core.py):
 
@@ -32,7 +33,7 @@
 from .shutdown import Shutdown
 from .tables import TASK_TRANSITIONS, AttemptState, Task, TaskState
 from .task_table import TaskTable
-from .validation import InvalidRequest, PlacementRequest, validate_request
+from .validation import InvalidRequestError, PlacementRequest, validate_request
 
 SWEEP_US = 250_000
 ANSWER_MARGIN_US = 30_000  # from the module's deadline to the client's, for sending the answer
@@ -150,7 +151,7 @@
     ) -> None:
         try:
             request = validate_request(message, connection.client, self.settings, self.tenants)
-        except InvalidRequest:
+        except InvalidRequestError:
             self.sessions.reject(connection, message.id, Cause.INVALID, "invalid")
             return
         known = self.tasks.by_id.get(message.id)
--- a/stairplank/platform/client_sessions.py
+++ b/stairplank/platform/client_sessions.py
@@ -67,7 +67,7 @@
         self.by_client: dict[str, dict[int, None]] = {}
         self.pending_releases: deque[PendingRelease] = deque()
         # Whether a connection has input that is not handled yet; the service replaces it.
-        self.has_unread: Callable[[int], bool] = lambda number: False
+        self.has_unread: Callable[[int], bool] = lambda _number: False
 
     def get(self, number: int) -> ClientConnection | None:
         """Return the connection with a number, or None if there is none."""
--- a/stairplank/platform/core.py
+++ b/stairplank/platform/core.py
@@ -1,5 +1,6 @@
-"""The platform's core: passes events to its components, advances time and runs the decision module. It has
-no I/O, clock or global state.
+"""The platform's core: passes events to its components, advances time and runs the decision module.
+
+It has no I/O, clock or global state.
 
 ``handle`` takes the time and events and returns actions; ``next_due`` returns when it needs a ``TimerDue``
 event. ``decisions.Planner`` alone decides where a task goes. It receives the same events here as in the
@@ -123,12 +124,12 @@
             ev.MessagesUnsent: self.links.messages_unsent,
             ev.MachineMessage: self.links.received,
             ev.NodeListUpdated: lambda event: self.machines.update(event.update),
-            ev.NodeListConfirmed: lambda event: self.adoption.list_confirmed(),
-            ev.NodeListLost: lambda event: self.loop.notify_module(api.NodeList(api.ListKind.FAILED)),
+            ev.NodeListConfirmed: lambda _event: self.adoption.list_confirmed(),
+            ev.NodeListLost: lambda _event: self.loop.notify_module(api.NodeList(api.ListKind.FAILED)),
             ev.ShutdownRequested: self.shutdown.begin,
-            ev.MachinesClosing: lambda event: self.links.close_all(),
+            ev.MachinesClosing: lambda _event: self.links.close_all(),
             ev.SettingsChanged: self._settings_changed,
-            ev.TimerDue: lambda event: None,
+            ev.TimerDue: lambda _event: None,
         }
 
     def _module_action_handlers(self) -> dict[type, Callable[[Any], None]]:
@@ -140,8 +141,8 @@
             api.Shed: self.requests.shed,
             api.Fail: self.requests.fail,
             api.SetTimer: lambda action: self.loop.call_at(action.at_us, self._timer, action.token),
-            api.WatchNodeList: lambda action: self.loop.emit(ev.WatchNodeList()),
-            api.FetchNodeList: lambda action: self.loop.emit(ev.WatchNodeList()),
+            api.WatchNodeList: lambda _action: self.loop.emit(ev.WatchNodeList()),
+            api.FetchNodeList: lambda _action: self.loop.emit(ev.WatchNodeList()),
             api.Log: lambda action: self.loop.emit(ev.Report("module", {"text": action.text})),
         }
 
--- a/stairplank/platform/event_queue.py
+++ b/stairplank/platform/event_queue.py
@@ -96,6 +96,7 @@
         self._hung_up: set[int] = set()  # connections that have hung up and are not disconnected yet
 
     def __len__(self) -> int:
+        """Return the number of events that wait."""
         queues = (self._node_list, self._departures, self._urgent, self._other, self._placements)
         return sum(map(len, queues))
 
--- a/stairplank/platform/node_list.py
+++ b/stairplank/platform/node_list.py
@@ -66,6 +66,7 @@
         self._by_address: dict[str, int] = {}  # address: machine number
 
     def __len__(self) -> int:
+        """Return the number of machines."""
         return len(self._machines)
 
     def remember(self, machine: ListedNode, kind: str) -> None:
@@ -181,6 +182,14 @@
             self._zones[name] = len(self._zones)
         return self._zones.get(name, 0)
 
+    def _unusable_entry(self, node: int, name: str, status: api.NodeStatus) -> ListedNode | None:
+        """Return an entry without address for a machine that gets no work, or None for one that is ready."""
+        if status is api.NodeStatus.READY:
+            return None
+        # An older entry of this machine must not be listed as serving once its node type becomes known.
+        self._unknown.forget(node)
+        return ListedNode(api.NodeEntry(node, 0, -1, 0, status, 0.0, 0.0), name, "")
+
     def _parse_entry(self, row: Any) -> ListedNode | None:
         """Return the machine that an entry describes, or None if the entry cannot be used."""
         if not isinstance(row, dict) or not isinstance(name := row.get("host"), str):
@@ -196,14 +205,10 @@
             cores, memory = (float(spare[0]), float(spare[1])) if spare else (0.0, 0.0)
             group, launched = int(row.get("block") or 0), self._start(node, int(row.get("born_ms") or 0))
             zone, kind = self._zone_index(row.get("site")), self._kinds.get(row["class"], -1)
-            if not (math.isfinite(cores) and math.isfinite(memory)) or not _is_address(address):
-                raise ValueError
         except (KeyError, TypeError, ValueError, IndexError, OverflowError):
-            if status is api.NodeStatus.READY:
-                return None
-            # An older entry of this machine must not be listed as serving once its node type becomes known.
-            self._unknown.forget(node)
-            return ListedNode(api.NodeEntry(node, 0, -1, 0, status, 0.0, 0.0), name, "")
+            return self._unusable_entry(node, name, status)
+        if not (math.isfinite(cores) and math.isfinite(memory)) or not _is_address(address):
+            return self._unusable_entry(node, name, status)
         entry = api.NodeEntry(node, zone, kind, group, status, cores, memory, launched)
         machine = ListedNode(entry, name, address)
         self._unknown.forget(node)
--- a/stairplank/platform/validation.py
+++ b/stairplank/platform/validation.py
@@ -23,7 +23,7 @@
 )
 
 
-class InvalidRequest(PlatformError):
+class InvalidRequestError(PlatformError):
     """A placement request is invalid; the message names the reason."""
 
 
@@ -55,7 +55,7 @@
         tenants: The tenants' names, in the settings' order.
 
     Raises:
-        InvalidRequest: If a field is missing or has a value that cannot be used.
+        InvalidRequestError: If a field is missing or has a value that cannot be used.
     """
     fields = message.fields
     extras = _parse_extras(fields.get("extras", ""))
@@ -63,9 +63,9 @@
     wait_us = _parse_wait_us(fields.get("left", ""))
     key, service, idempotency_key = fields.get("key", ""), extras.get("service", ""), fields.get("idem", "")
     if not is_id(key) or not is_id(service):
-        raise InvalidRequest("the task's key or its service is not 16 hexadecimal digits")
+        raise InvalidRequestError("the task's key or its service is not 16 hexadecimal digits")
     if idempotency_key and not IDEMPOTENCY_KEY_PATTERN.fullmatch(idempotency_key):
-        raise InvalidRequest("the idempotency key is not 32 hexadecimal digits")
+        raise InvalidRequestError("the idempotency key is not 32 hexadecimal digits")
     spec = TaskSpec(
         client=client,
         key=int(key, 16),
@@ -80,39 +80,39 @@
     class_index = _admissible_class(spec, wait_us, idempotency_key, settings, tenants)
     at = extras.get("at", "")
     if len(at) > MAX_MACHINE_NAME_LENGTH:
-        raise InvalidRequest(f"the machine's name is longer than {MAX_MACHINE_NAME_LENGTH} characters")
+        raise InvalidRequestError(f"the machine's name is longer than {MAX_MACHINE_NAME_LENGTH} characters")
     tenant = tenants.index(spec.tenant) if spec.tenant else 0
     return PlacementRequest(spec, class_index, tenant, wait_us, key, idempotency_key, at)
 
 
 def _check_content(message: Message) -> None:
     if message.id == "0" * 16:
-        raise InvalidRequest("no id: all digits are zero")
+        raise InvalidRequestError("no id: all digits are zero")
     if not message.body:
-        raise InvalidRequest("the request has no description")
+        raise InvalidRequestError("the request has no description")
     # A description that fits a binary message may not fit a machine's line once it is escaped; writing it
     # would fail and end the core's turn.
     if len(jsonlines.encode_text(message.body)) > MAX_MESSAGE_BYTES - MAX_REQUEST_OVERHEAD_BYTES:
-        raise InvalidRequest("the description is too long for a machine's line")
+        raise InvalidRequestError("the description is too long for a machine's line")
 
 
 def _admissible_class(
     spec: TaskSpec, wait_us: int, idempotency_key: str, settings: api.Settings, tenants: tuple[str, ...]
 ) -> int:
-    """Return the index of the task's class in the settings. Raises InvalidRequest if they reject the task."""
+    """Return the index of the task's class in the settings. Raises InvalidRequestError if they reject it."""
     error = admission.task_error(spec, wait_us, BOUNDS, settings, tenants)
     if error is not None:
-        raise InvalidRequest(f"{error.field}: {error.message}")
+        raise InvalidRequestError(f"{error.field}: {error.message}")
     index = next((i for i, c in enumerate(settings.classes) if c.name == spec.task_class), -1)
     if settings.classes[index].effect is api.Effect.IDEMPOTENT_BY_KEY and not idempotency_key:
-        raise InvalidRequest("no idempotency key for a class that is idempotent by key")
+        raise InvalidRequestError("no idempotency key for a class that is idempotent by key")
     return index
 
 
 def _parse_wait_us(text: str) -> int:
     """Return a client's wait in microseconds; the request states it in milliseconds."""
     if not text.isascii() or not text.isdigit() or len(text) > MAX_WAIT_DIGITS:
-        raise InvalidRequest(f"the wait is not a number of at most {MAX_WAIT_DIGITS} digits")
+        raise InvalidRequestError(f"the wait is not a number of at most {MAX_WAIT_DIGITS} digits")
     return int(text) * 1000
 
 
@@ -121,17 +121,17 @@
     for part in text.split(";"):
         name, colon, value = part.partition(":")
         if not colon or name in extras:
-            raise InvalidRequest("the extras are not distinct name:value pairs")
+            raise InvalidRequestError("the extras are not distinct name:value pairs")
         extras[name] = value
     return extras
 
 
 def _parse_amount(text: str) -> float:
     if not NUMBER_PATTERN.fullmatch(text):
-        raise InvalidRequest("an amount is not a decimal number")
+        raise InvalidRequestError("an amount is not a decimal number")
     value = float(text)
     if not math.isfinite(value):
-        raise InvalidRequest("an amount is not a decimal number")
+        raise InvalidRequestError("an amount is not a decimal number")
     return value
 
 
--- a/tests/platform/test_platform_inputs.py
+++ b/tests/platform/test_platform_inputs.py
@@ -61,12 +61,12 @@
     ],
 )
 def test_an_invalid_placement_request_is_rejected(changes: dict[str, str]) -> None:
-    with pytest.raises(validation.InvalidRequest):
+    with pytest.raises(validation.InvalidRequestError):
         validation.validate_request(placement_request(1, **changes), "c", SETTINGS)
 
 
 def test_a_placement_request_without_an_id_is_rejected() -> None:
-    with pytest.raises(validation.InvalidRequest, match="no id"):
+    with pytest.raises(validation.InvalidRequestError, match="no id"):
         validation.validate_request(placement_request(0), "c", SETTINGS)
 
 
