Tests for three guards of the release orders that no test needed

Need: eleven guards were taken out one at a time on a scratch copy; three of them left every test of test_platform_release_orders green: no task is sent where a release of its id is unconfirmed, a queued machine is dialled for its releases, a machine that was just found unreachable is not dialled at once.

Measured: each of the three new tests fails without its guard and passes with it; 26 passed. No code changes.

--- a/tests/platform/test_platform_release_orders.py
+++ b/tests/platform/test_platform_release_orders.py
@@ -247,6 +247,42 @@
     assert len(harness.core.links.machines) == 1
 
 
+def test_a_machine_that_was_just_found_unreachable_is_not_dialled_at_once_for_its_releases() -> None:
+    harness, conn, link = harness_with_running_task()
+    lose_link(harness, link)
+    while len(harness.replies(1)) < 2:  # until the task counts as lost with its machine
+        harness.advance(link_checks.CHECK_INTERVAL_US, links_come_up=False)
+        for dialled in list(harness.dials):
+            del harness.dials[dialled]
+            harness.feed(ev.LinkFailed(dialled, refused=False))
+    dial_count = harness.core.counts["dials"]
+    harness.advance(release_orders.MAX_RETRY_US - SECOND // 2, links_come_up=False)
+    assert harness.core.counts["dials"] == dial_count
+    harness.advance(SECOND, links_come_up=False)
+    assert harness.core.counts["dials"] == dial_count + 1
+
+
+def test_a_machine_that_waits_for_capacity_is_dialled_for_its_releases() -> None:
+    harness = CoreHarness(machines=2)
+    harness.core.links.pool.max_links = 1
+    conn = harness.add_client()
+    link = harness.request_and_accept(conn, 1)
+    other = next(m for m in harness.core.links.machines.values() if m.address != harness.links_up[link])
+    harness.core.links.releases.order(other.id, task_id(2), Cause.CANCELLED)
+    harness.advance(SECOND // 2)  # the idle connection to the first machine is closed, the other is dialled
+    assert len(releases_sent(harness, 2)) == 1
+
+
+def test_a_task_is_not_sent_to_a_machine_where_a_release_of_its_id_is_unconfirmed() -> None:
+    harness = CoreHarness(machines=1)
+    conn = harness.add_client()
+    (machine,) = harness.core.links.machines
+    harness.core.links.releases.order(machine, task_id(1), Cause.CANCELLED)
+    harness.request_placement(conn, 1)
+    harness.advance(SECOND // 2)
+    assert releases_sent(harness, 1) and harness.placements_sent(1) == []
+
+
 def test_an_adopted_task_is_not_ended_by_an_earlier_release() -> None:
     harness, conn, link = harness_with_running_task()
     cancel(harness, conn, 1)
